Add the catalog of relayed requests and the decisions about them

Cause: requests that are relayed byte for byte by host and path had no place in the agreed state, and no part decided where they go or how pieces of stages are gathered.

Change: `coord::catalog` holds routes, services and teams under one number and checks them as a whole; the highest number takes effect. `coord::relay` decides without I/O: the endpoint of a request, what follows a failed attempt, which pieces go into one call, when a stage starts, who gathers for a pool. Several first voters can found one system together; with mending on, the leader changes the voters by itself. The retry budget takes its terms as values.

Ruled out: gathering at each instance, since seven small queues can't fill calls whose fixed part is most of their time; gathering under agreed grants, since two gatherers for a moment only make smaller calls.

--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod endpoints;
 mod envelope;
 mod feed;
+mod founding;
 mod guard;
 mod holder;
 mod leases;
@@ -20,6 +21,7 @@
     endpoints::EndpointTable,
     envelope::{Envelope, PeerRefusal},
     feed::Feed,
+    founding::{first_voter, first_voters, founded_system},
     guard::Guard,
     holder::{Holder, HolderChange},
     leases::{LEASE, LEASE_MARGIN, LeaseRow, LeaseTable},
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -78,6 +78,8 @@
     pub(super) led: Option<Term>,
     pub(super) cleaned: Time,
     pub(super) promoted: Time,
+    /// Whether the leader changes the voters by itself.
+    pub(super) mends: bool,
     pub(super) done: Vec<Done>,
 }
 
@@ -105,10 +107,17 @@
             led: None,
             cleaned: now,
             promoted: now,
+            mends: false,
             done: Vec::new(),
         }
     }
 
+    /// Says whether the leader makes voters of instances with a disk and
+    /// removes voters that are gone, without an operator.
+    pub fn set_mending(&mut self, mends: bool) {
+        self.mends = mends;
+    }
+
     /// The agreement below.
     pub fn raft(&self) -> &Raft {
         &self.raft
--- a/crates/coord/src/ids/mod.rs
+++ b/crates/coord/src/ids/mod.rs
@@ -13,7 +13,7 @@
         StageName, TeamName,
     },
     number::{
-        AttemptId, Fence, Generation, Incarnation, Index, NodeId, Slots, SystemId, Term, Tokens,
-        Version,
+        AttemptId, Bytes, CatalogVersion, Fence, Generation, Incarnation, Index, NodeId, Rate,
+        Slots, SystemId, Term, Tokens, Version,
     },
 };
--- a/crates/coord/src/ids/number.rs
+++ b/crates/coord/src/ids/number.rs
@@ -107,6 +107,18 @@
     /// The generation of an endpoint; each start of it has a higher one.
     Generation(u64)
 }
+number_type! {
+    /// A size in bytes.
+    Bytes(u64)
+}
+number_type! {
+    /// The number of a catalog, given by its author; the highest takes effect.
+    CatalogVersion(u64)
+}
+number_type! {
+    /// A rate in events per thousand seconds.
+    Rate(u64)
+}
 number_type! {
     /// Counts the starts of one instance.
     Incarnation(u64)
--- /dev/null
+++ b/crates/coord/src/relay/mod.rs
@@ -0,0 +1,16 @@
+//! Decisions about relayed requests: which endpoint gets one, how pieces of
+//! stages are gathered into calls, who gathers them, and what may be repeated.
+
+mod attempts;
+mod gather;
+mod holders;
+mod placer;
+mod plan;
+
+pub use {
+    attempts::{Attempts, Ended, Next},
+    gather::{CallEnd, Gather, GatherCall, GroupId, Piece, PieceId},
+    holders::{entries, holders, rank},
+    placer::{Placer, Wish},
+    plan::{Plan, Progress},
+};
--- a/crates/coord/src/router/mod.rs
+++ b/crates/coord/src/router/mod.rs
@@ -18,7 +18,7 @@
 pub use {
     answer::{Failure, Finish, Outcome, Reason, StageReport},
     attempts::MAX_OUTPUT,
-    budget::RetryBudget,
+    budget::{BudgetTerms, RetryBudget},
     effect::{AttemptEvent, AttemptSend, ClaimWish, Effect, Ident},
     estimate::Estimator,
     picker::{Candidate, Picker, Policy, PolicyError},
--- a/crates/coord/src/router/router.rs
+++ b/crates/coord/src/router/router.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AttemptSend, Effect, Estimator, Failure, FairQueue, Finish, Ident, Outcome, Picker, Policy,
-        Reason, RetryBudget, Stats,
+        AttemptSend, BudgetTerms, Effect, Estimator, Failure, FairQueue, Finish, Ident, Outcome,
+        Picker, Policy, Reason, RetryBudget, Stats,
         request::{Attempt, EffectState, Phase, Request},
     },
     crate::{
@@ -70,7 +70,7 @@
             queues: IndexMap::new(),
             picker: Picker::new(policy, seed),
             estimator: Estimator::default(),
-            budget: RetryBudget::new(now),
+            budget: RetryBudget::new(BudgetTerms::default(), now),
             trouble: Vec::new(),
             effects: Vec::new(),
             stats: Stats::default(),
--- a/crates/coord/src/tables/state.rs
+++ b/crates/coord/src/tables/state.rs
@@ -3,11 +3,13 @@
 use {
     super::{Change, ChangeOutcome, Delta, Endpoint, History, Member, Tables},
     crate::{
+        catalog::Catalog,
         claims::{Claim, ClaimError, ClaimOutcome, ClaimRequest, Claims, Settlement},
         ids::{ClaimKey, EndpointName, Fence, Generation, Incarnation, Index, NodeId},
         time::Wall,
     },
     serde::{Deserialize, Serialize},
+    std::sync::Arc,
 };
 
 /// An entry of the replicated log, as the state machine sees it.
@@ -43,6 +45,11 @@
         author: String,
         at: Wall,
     },
+    /// Replaces the catalog, unless it has this number or a higher one.
+    Catalog {
+        catalog: Arc<Catalog>,
+        document: Arc<str>,
+    },
 }
 
 /// What applying a command led to, for the one who proposed it.
@@ -71,6 +78,9 @@
     pub tables: Tables,
     pub history: History,
     pub claims: Claims,
+    /// The catalog as its author wrote it, for reading it back.
+    #[serde(default)]
+    pub document: Option<Arc<str>>,
 }
 
 impl State {
@@ -93,6 +103,7 @@
             Command::Resolve { key, settlement, author, .. } => {
                 quiet(Outcome::Claim(self.claims.resolve(*key, settlement, author)))
             }
+            Command::Catalog { catalog, document } => self.apply_catalog(catalog, document),
         }
     }
 
@@ -162,6 +173,14 @@
         self.step(Delta::DropMember(id), Outcome::Done)
     }
 
+    fn apply_catalog(&mut self, catalog: &Arc<Catalog>, document: &Arc<str>) -> Applied {
+        if catalog.version <= self.tables.catalog.version {
+            return quiet(Outcome::Done);
+        }
+        self.document = Some(document.clone());
+        self.step(Delta::Catalog(catalog.clone()), Outcome::Done)
+    }
+
     fn step(&mut self, delta: Delta, outcome: Outcome) -> Applied {
         self.tables.apply(&delta);
         Applied { outcome, delta: Some(delta) }
--- a/crates/coord/src/tables/tables.rs
+++ b/crates/coord/src/tables/tables.rs
@@ -2,10 +2,14 @@
 
 use {
     super::{Edit, EditError, Endpoint, EndpointState, Member, Pool, Route, Target, change::error},
-    crate::ids::{DomainName, EndpointName, NodeId, PoolName, RouteName, Version},
+    crate::{
+        catalog::Catalog,
+        ids::{DomainName, EndpointName, NodeId, PoolName, RouteName, Version},
+    },
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     snafu::{ResultExt, ensure},
+    std::sync::Arc,
 };
 
 /// The most rows of one table.
@@ -22,6 +26,9 @@
     pub out_endpoints: IndexSet<EndpointName>,
     pub roster: IndexMap<NodeId, Member>,
     pub endpoints: IndexMap<EndpointName, Endpoint>,
+    /// Relayed requests; empty until the first catalog is accepted.
+    #[serde(default)]
+    pub catalog: Arc<Catalog>,
 }
 
 /// A step from one state of the tables to the next, for copies of them.
@@ -33,6 +40,7 @@
     DropEndpoint(EndpointName),
     Member(Member),
     DropMember(NodeId),
+    Catalog(Arc<Catalog>),
 }
 
 impl Tables {
@@ -71,6 +79,7 @@
             Delta::DropMember(id) => {
                 self.roster.shift_remove(id);
             }
+            Delta::Catalog(it) => self.catalog = it.clone(),
         }
     }
 
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -8,8 +8,8 @@
             ClaimKey, Class, EndpointName, Fence, Generation, RequestId, Slots, Tokens, Version,
         },
         router::{
-            AttemptEvent, AttemptSend, Effect, FairQueue, Finish, Ident, Limits, MAX_OUTPUT,
-            Outcome, Policy, Reason, RetryBudget, Router, Submission, Waiter,
+            AttemptEvent, AttemptSend, BudgetTerms, Effect, FairQueue, Finish, Ident, Limits,
+            MAX_OUTPUT, Outcome, Policy, Reason, RetryBudget, Router, Submission, Waiter,
         },
         tables::{Edit, Endpoint, EndpointState, Pool, PoolKind, Route, Stage, Tables},
         time::{Millis, Time},
@@ -283,7 +283,7 @@
 
 #[test]
 fn retries_stop_when_the_budget_is_spent() {
-    let mut budget = RetryBudget::new(NOW);
+    let mut budget = RetryBudget::new(BudgetTerms::default(), NOW);
 
     let spent = (0..1000).filter(|_| budget.spend(NOW)).count();
     let later = (0..1000).filter(|_| budget.spend(NOW + Millis(5000))).count();
