--- a/crates/daemon/src/core/callers.rs
+++ b/crates/daemon/src/core/callers.rs
@@ -4,16 +4,16 @@
     super::{
         Core,
         core::CallerRow,
-        proposals::{Origin, Proposal},
+        proposals::{Heeded, Origin, Proposal, heed},
     },
     crate::callers::CallerReply,
     crate::telemetry::Labels,
     coord::{
         claims::ClaimRequest,
         control::Heard,
-        ids::RequestId,
+        ids::{EndpointName, RequestId},
         router::{ClaimWish, Effect, Finish, Submission},
-        tables::Command,
+        tables::{Command, Endpoint, EndpointState},
         time::{Millis, Time},
         wire::Announcement,
     },
@@ -67,7 +67,7 @@
 
     /// Takes in an endpoint's announcement: news go into the agreed tables,
     /// the rest goes to the leader with the next renewal.
-    pub(super) fn on_announcement(&mut self, now: Time, it: Announcement) {
+    pub(super) fn on_announcement(&mut self, now: Time, it: Announcement, heeded: Heeded) {
         let endpoint = it.endpoint;
         let heard = Heard {
             endpoint: endpoint.name.clone(),
@@ -77,13 +77,39 @@
         let known = self.holder.tables().endpoints.get(&endpoint.name);
         let news = known.is_none_or(|old| endpoint.supersedes(old));
         self.renewals.hear(heard);
-        if news && self.holder.has_lease(now) {
-            let proposal =
-                Proposal::new(Origin::Quiet, Command::Endpoint(endpoint), now + ANNOUNCE_BOUND);
-            self.propose(now, proposal);
+        if !self.holder.has_lease(now) {
+            heed(heeded, false);
+        } else if news {
+            self.agree_on(now, endpoint, heeded);
+        } else {
+            heed(heeded, true);
         }
     }
 
+    /// Takes in that an endpoint leaves for good. Its row stays, so that a late
+    /// announcement of the same start doesn't bring it back.
+    pub(super) fn on_farewell(&mut self, now: Time, name: &EndpointName, heeded: Heeded) {
+        let row = self.holder.tables().endpoints.get(name);
+        match row.filter(|it| it.state != EndpointState::Leaving) {
+            _ if !self.holder.has_lease(now) => heed(heeded, false),
+            Some(it) => {
+                let leaving = Endpoint { state: EndpointState::Leaving, ..it.clone() };
+                self.agree_on(now, leaving, heeded);
+            }
+            None => heed(heeded, true),
+        }
+    }
+
+    fn agree_on(&mut self, now: Time, endpoint: Endpoint, heeded: Heeded) {
+        log::info!(
+            endpoint:% = endpoint.name, generation:% = endpoint.generation,
+            state:? = endpoint.state, addr:% = endpoint.addr;
+            "[endpoints] An endpoint has news."
+        );
+        let origin = Origin::Announcement(heeded);
+        self.propose(now, Proposal::new(origin, Command::Endpoint(endpoint), now + ANNOUNCE_BOUND));
+    }
+
     fn claim(&mut self, now: Time, request: RequestId, wish: ClaimWish) {
         let key = wish.key;
         let claim = ClaimRequest {
--- a/crates/daemon/src/core/context.rs
+++ b/crates/daemon/src/core/context.rs
@@ -5,16 +5,17 @@
         disk::{DiskWriter, Identity},
         endpoints::EndpointCalls,
         peers::Outgoing,
+        relay::Relayed,
         settings::Settings,
         telemetry::Meters,
     },
-    coord::raft::Restored,
+    coord::{raft::Restored, tables::Tables},
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::AtomicBool},
         time::Instant,
     },
-    tokio::sync::mpsc::UnboundedSender,
+    tokio::sync::{mpsc::UnboundedSender, watch},
 };
 
 /// The parts around the core loop.
@@ -29,6 +30,9 @@
     pub endpoints: EndpointCalls,
     pub meters: Meters,
     pub ready: Arc<AtomicBool>,
+    /// Where the agreed tables are shown to the other front doors.
+    pub tables: watch::Sender<Arc<Tables>>,
+    pub relayed: Arc<Relayed>,
     pub start: Instant,
     pub seed: u64,
 }
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -9,13 +9,15 @@
         event::Event,
         operators::OperatorCall,
         peers::{Outgoing, PeerCall, Responder},
+        relay::Relayed,
         settings::Settings,
         telemetry::Meters,
     },
     coord::{
-        control::{Done, Envelope, Guard, Holder, Token, Trouble, Voter},
+        control::{Done, Envelope, Guard, Holder, Token, Trouble, Voter, first_voters},
         ids::{Class, Index, RequestId, RouteName, TeamName},
         router::{Limits, Router},
+        tables::Tables,
         time::{Millis, Time, Wall},
     },
     indexmap::IndexMap,
@@ -29,7 +31,7 @@
         },
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
-    tokio::sync::mpsc::UnboundedSender,
+    tokio::sync::{mpsc::UnboundedSender, watch},
 };
 
 /// How often the systems run.
@@ -74,6 +76,8 @@
     pub(super) endpoints: EndpointCalls,
     pub(super) meters: Meters,
     pub(super) ready: Arc<AtomicBool>,
+    pub(super) tables: watch::Sender<Arc<Tables>>,
+    pub(super) relayed: Arc<Relayed>,
     pub(super) stop: Option<Stop>,
     pub(super) exit: Option<ExitCode>,
     tokens: u64,
@@ -94,7 +98,16 @@
         };
         let router = Router::new(context.settings.policy, limits, now, context.seed);
         let node = context.identity.node;
-        let voter = restored.map(|it| Voter::new(node, it, now, context.seed));
+        let mut voter = restored.map(|it| Voter::new(node, it, now, context.seed));
+        if let Some(voter) = &mut voter {
+            voter.set_mending(context.settings.mend_voters);
+            let found =
+                !context.settings.found_with.is_empty() && context.identity.system.is_some();
+            if found && voter.raft().last() == Index(0) {
+                voter.raft_mut().found(first_voters(&context.settings.found_with));
+                log::info!("[lease] The system is founded with the first voters.");
+            }
+        }
         let mut core = Self {
             guard: context.identity.system.map(Guard::new),
             identity: context.identity,
@@ -114,6 +127,8 @@
             endpoints: context.endpoints,
             meters: context.meters,
             ready: context.ready,
+            tables: context.tables,
+            relayed: context.relayed,
             stop: None,
             exit: None,
             tokens: 0,
@@ -140,7 +155,14 @@
             Event::Answered { token, answer } => self.on_answer(now, token, answer),
             Event::Greeted(system) => self.on_greeting(system),
             Event::Operator(call) => self.on_operator(now, call),
-            Event::Announce(it) => self.on_announcement(now, *it),
+            Event::Announce { announcement, heeded } => {
+                self.on_announcement(now, *announcement, heeded);
+            }
+            Event::Farewell { endpoint, heeded } => self.on_farewell(now, &endpoint, heeded),
+            Event::Reseed(seeds) => {
+                log::info!(seeds:? = seeds; "[settings] The addresses to join have changed.");
+                self.renewals.reseed(&seeds);
+            }
             Event::Synced(last) => {
                 self.syncing = false;
                 if let Some(voter) = &mut self.voter {
--- a/crates/daemon/src/core/operators.rs
+++ b/crates/daemon/src/core/operators.rs
@@ -42,6 +42,9 @@
                 at: self.wall(),
                 edits: it.edits.clone(),
             }),
+            OperatorQuestion::Catalog { catalog, document } => {
+                Command::Catalog { catalog: catalog.clone(), document: document.clone() }
+            }
             OperatorQuestion::Resolve(it) => Command::Resolve {
                 key: it.key,
                 settlement: match &it.output {
@@ -53,7 +56,7 @@
             },
         };
         if !self.holder.has_lease(now) {
-            refuse(&call, "this instance holds no lease; nothing was done");
+            refuse(call, "this instance holds no lease; nothing was done");
             return;
         }
         let origin = Origin::Operator(Box::new(call));
@@ -65,7 +68,7 @@
         let all = std::mem::take(&mut self.admin_retries);
         for (at, call, until) in all {
             if now >= until {
-                refuse(&call, "the voters can't be reached");
+                refuse(*call, "the voters can't be reached");
             } else if now >= at {
                 self.ask_leader(now, call, until);
             } else {
@@ -84,9 +87,9 @@
     ) {
         match answer {
             Ok(Ok(it)) => {
-                let _ = call.respond.send(OperatorAnswer::Admin(it));
+                (call.respond)(OperatorAnswer::Admin(it));
             }
-            Ok(Err(ProposalError::Refused { reason })) => refuse(&call, &reason),
+            Ok(Err(ProposalError::Refused { reason })) => refuse(*call, &reason),
             Ok(Err(err)) => {
                 if let ProposalError::NotLeader { leader } = err {
                     self.renewals.set_leader(leader);
@@ -114,6 +117,7 @@
         match admin {
             Admin::Status => Ok(AdminAnswer::Status(status)),
             Admin::Tables => Ok(AdminAnswer::Tables(view(voter))),
+            Admin::Catalog => Ok(AdminAnswer::Catalog(voter.state().document.clone())),
             Admin::History => {
                 let rows = voter.state().history.latest().take(HISTORY_ROWS);
                 Ok(AdminAnswer::History(rows.map(Into::into).collect()))
@@ -154,24 +158,24 @@
     /// Founds a system with this instance as its only voter.
     fn found(&mut self, call: OperatorCall) {
         if let Some(system) = self.identity.system {
-            refuse(&call, &format!("this instance belongs to system {system} already"));
+            refuse(call, &format!("this instance belongs to system {system} already"));
             return;
         }
         let Some(voter) = &mut self.voter else {
-            refuse(&call, "an instance without a data folder can't found a system");
+            refuse(call, "an instance without a data folder can't found a system");
             return;
         };
         let system = SystemId::generate();
         voter.raft_mut().found(Config::single(self.identity.node, self.peer));
         self.enter(system);
         log::info!("[lease] System {system} is founded.");
-        let _ = call.respond.send(OperatorAnswer::Founded(system.to_string()));
+        (call.respond)(OperatorAnswer::Founded(system.to_string()));
     }
 }
 
-fn refuse(call: &OperatorCall, detail: &str) {
+fn refuse(call: OperatorCall, detail: &str) {
     let err = OperatorError { unknown: false, detail: detail.to_owned() };
-    let _ = call.respond.send(OperatorAnswer::Failed(err));
+    (call.respond)(OperatorAnswer::Failed(err));
 }
 
 /// The running instance of a name that could become a voter.
--- a/crates/daemon/src/core/proposals.rs
+++ b/crates/daemon/src/core/proposals.rs
@@ -28,8 +28,18 @@
     Settlement,
     Operator(Box<OperatorCall>),
     Join,
-    /// Nobody.
-    Quiet,
+    /// An endpoint that announced news.
+    Announcement(Heeded),
+}
+
+/// Told whether an endpoint's news are agreed.
+pub type Heeded = Option<tokio::sync::oneshot::Sender<bool>>;
+
+/// Tells an endpoint, if it still waits.
+pub fn heed(heeded: Heeded, agreed: bool) {
+    if let Some(it) = heeded {
+        let _ = it.send(agreed);
+    }
 }
 
 /// A command on its way.
@@ -169,10 +179,11 @@
                 }
             }
             Origin::Operator(call) => {
-                let _ = call.respond.send(OperatorAnswer::Outcome(outcome));
+                (call.respond)(OperatorAnswer::Outcome(outcome));
             }
             Origin::Join => self.on_joined(&outcome),
-            Origin::Settlement | Origin::Quiet => {}
+            Origin::Announcement(heeded) => heed(heeded, true),
+            Origin::Settlement => {}
         }
     }
 
@@ -185,10 +196,11 @@
                     false => "the voters can't be reached; the change was not taken",
                 };
                 let err = OperatorError { unknown: proposal.sent, detail: detail.to_owned() };
-                let _ = call.respond.send(OperatorAnswer::Failed(err));
+                (call.respond)(OperatorAnswer::Failed(err));
             }
             Origin::Join => self.renewals.joining = false,
-            Origin::Settlement | Origin::Quiet => {}
+            Origin::Announcement(heeded) => heed(heeded, false),
+            Origin::Settlement => {}
         }
     }
 }
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Takes in other addresses to join. Those of the agreed voters stay.
+    pub fn reseed(&mut self, seeds: &[SocketAddr]) {
+        let all: IndexSet<SocketAddr> = seeds.iter().chain(&self.seeds).copied().collect();
+        self.seeds = all.into_iter().collect();
+    }
+
     /// Takes in an endpoint's report for the next renewal.
     pub fn hear(&mut self, heard: Heard) {
         self.heard.insert(heard.endpoint.clone(), heard);
@@ -261,7 +267,8 @@
         if change.tables {
             let tables = self.holder.tables().clone();
             self.renewals.learn(&tables);
-            self.router.reload(tables);
+            self.router.reload(tables.clone());
+            self.tables.send_replace(tables);
             self.show(now);
         }
         if let Some(grants) = &change.grants {
--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -27,7 +27,8 @@
     /// Begins a planned stop.
     pub(super) fn begin_stop(&mut self, now: Time) {
         if self.stop.is_none() {
-            log::info!("[stop] A planned stop begins.");
+            log::info!(held = self.relayed.held(); "[stop] A planned stop begins.");
+            self.relayed.stop();
             self.stop = Some(Stop { began: now, idle: None, released: false });
         }
     }
@@ -43,7 +44,8 @@
             return;
         }
         let bound = passed >= self.settings.stop_bound;
-        let busy = !self.router.is_idle() || self.has_settlements();
+        let relaying = self.relayed.held() > 0;
+        let busy = !self.router.is_idle() || self.has_settlements() || relaying;
         if busy && !bound {
             return;
         }
--- a/crates/daemon/src/disk/identity.rs
+++ b/crates/daemon/src/disk/identity.rs
@@ -2,10 +2,13 @@
 
 use {
     super::{DiskError, Folder, error::*},
-    coord::ids::{Incarnation, NodeId, SystemId},
+    coord::{
+        control::{first_voter, founded_system},
+        ids::{Incarnation, NodeId, SystemId},
+    },
     serde::{Deserialize, Serialize},
     snafu::ResultExt,
-    std::{fs, io::ErrorKind},
+    std::{fs, io::ErrorKind, net::SocketAddr},
 };
 
 const NAME: &str = "identity.json";
@@ -26,11 +29,17 @@
         Self { node: NodeId::generate(), incarnation: Incarnation(1), system: None }
     }
 
-    /// Reads the folder's identity and counts this start, or makes a new one.
+    /// The identity of a first voter of a system that is being founded.
+    pub fn first_voter(voters: &[SocketAddr], own: SocketAddr) -> Self {
+        let system = Some(founded_system(voters));
+        Self { node: first_voter(voters, own), incarnation: Incarnation(1), system }
+    }
+
+    /// Reads the folder's identity and counts this start, or takes `new`.
     ///
     /// # Errors
     /// The file can't be read, understood or replaced.
-    pub fn start(folder: &Folder) -> Result<Self, DiskError> {
+    pub fn start(folder: &Folder, new: Self) -> Result<Self, DiskError> {
         let path = folder.file(NAME);
         let identity = match fs::read(&path) {
             Ok(bytes) => {
@@ -39,7 +48,7 @@
                 })?;
                 Self { incarnation: Incarnation(old.incarnation.0 + 1), ..old }
             }
-            Err(err) if err.kind() == ErrorKind::NotFound => Self::fresh(),
+            Err(err) if err.kind() == ErrorKind::NotFound => new,
             Err(err) => return Err(err).context(ReadSnafu { path }),
         };
         identity.save(folder)?;
--- a/crates/daemon/src/endpoints/listener.rs
+++ b/crates/daemon/src/endpoints/listener.rs
@@ -20,10 +20,12 @@
             return text(404, "there is no such page\n");
         }
         match serde_json::from_str::<Announcement>(&body) {
-            Ok(it) => match inbox.offer(Event::Announce(Box::new(it))) {
-                true => text(202, "heard\n"),
-                false => text(503, "busy\n"),
-            },
+            Ok(it) => {
+                match inbox.offer(Event::Announce { announcement: Box::new(it), heeded: None }) {
+                    true => text(202, "heard\n"),
+                    false => text(503, "busy\n"),
+                }
+            }
             Err(err) => text(400, &format!("the body can't be understood: {err}\n")),
         }
     };
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -9,12 +9,15 @@
     },
     coord::{
         control::{Envelope, Token},
-        ids::{AttemptId, Index, RequestId, SystemId},
+        ids::{AttemptId, EndpointName, Index, RequestId, SystemId},
         router::{AttemptEvent, Submission},
         wire::Announcement,
     },
-    std::sync::mpsc::{SyncSender, TrySendError},
-    tokio::sync::mpsc::UnboundedSender,
+    std::{
+        net::SocketAddr,
+        sync::mpsc::{SyncSender, TrySendError},
+    },
+    tokio::sync::{mpsc::UnboundedSender, oneshot},
 };
 
 /// The most events that wait for the core loop.
@@ -38,7 +41,7 @@
     },
     /// A peer asks which system this is.
     Hello {
-        respond: tokio::sync::oneshot::Sender<Option<SystemId>>,
+        respond: oneshot::Sender<Option<SystemId>>,
     },
     /// The answer to a call of a peer.
     Answered {
@@ -48,7 +51,19 @@
     /// A peer's answer to the question which system it is.
     Greeted(Option<SystemId>),
     Operator(OperatorCall),
-    Announce(Box<Announcement>),
+    /// What an endpoint says of itself. Whoever waits is told once news are
+    /// agreed, at once if there are none.
+    Announce {
+        announcement: Box<Announcement>,
+        heeded: Option<oneshot::Sender<bool>>,
+    },
+    /// An endpoint leaves for good.
+    Farewell {
+        endpoint: EndpointName,
+        heeded: Option<oneshot::Sender<bool>>,
+    },
+    /// The addresses to join have changed.
+    Reseed(Vec<SocketAddr>),
     Synced(Index),
     DiskFailed(DiskError),
     Stop,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,16 +1,5 @@
-//! The daemon of one entry instance.
-
-mod callers;
-mod core;
-mod disk;
-mod endpoints;
-mod event;
-mod operators;
-mod peers;
-mod run;
-mod settings;
-mod telemetry;
+//! Launches the daemon of one instance.
 
 fn main() -> std::process::ExitCode {
-    run::run()
+    daemon::run::run()
 }
--- a/crates/daemon/src/operators/call.rs
+++ b/crates/daemon/src/operators/call.rs
@@ -4,16 +4,20 @@
     crate::peers::Admin,
     crate::peers::AdminAnswer,
     coord::{
+        catalog::Catalog,
         tables::Outcome,
         wire::{ChangeRequest, OperatorError, ResolveRequest},
     },
-    std::sync::mpsc::SyncSender,
+    std::sync::Arc,
 };
 
+/// Takes the answer to a question.
+pub type OperatorResponder = Box<dyn FnOnce(OperatorAnswer) + Send>;
+
 /// A question and where its answer goes.
 pub struct OperatorCall {
     pub question: OperatorQuestion,
-    pub respond: SyncSender<OperatorAnswer>,
+    pub respond: OperatorResponder,
 }
 
 /// What is asked.
@@ -22,6 +26,11 @@
     /// Found a system with this instance as its only voter.
     Found,
     Change(ChangeRequest),
+    /// Replace the catalog by a checked one, with its author's own text.
+    Catalog {
+        catalog: Arc<Catalog>,
+        document: Arc<str>,
+    },
     Resolve(ResolveRequest),
     Admin(Admin),
 }
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -7,6 +7,7 @@
         peers::{Admin, AdminAnswer},
     },
     coord::{
+        catalog::Catalog,
         tables::{ChangeOutcome, Outcome},
         wire::{ChangeAnswer, ChangeRequest, OperatorError, VoterRequest},
     },
@@ -47,6 +48,12 @@
         (Method::Post, "/v1/changes") => parse::<ChangeRequest>(body).map(OperatorQuestion::Change),
         (Method::Get, "/v1/changes") => admin(Admin::History),
         (Method::Get, "/v1/tables") => admin(Admin::Tables),
+        (Method::Get, "/v1/catalog") => admin(Admin::Catalog),
+        (Method::Post, "/v1/catalog") => {
+            let catalog: Catalog = parse(body)?;
+            catalog.check().map_err(|err| failed(422, false, &err.to_string()))?;
+            Ok(OperatorQuestion::Catalog { catalog: Arc::new(catalog), document: body.into() })
+        }
         (Method::Get, "/v1/status") => admin(Admin::Status),
         (Method::Get, "/v1/claims/unknown") => admin(Admin::Unknown),
         (Method::Post, "/v1/claims/resolve") => parse(body).map(OperatorQuestion::Resolve),
@@ -69,6 +76,10 @@
         OperatorQuestion::Change(it) => Some(it.id),
         _ => None,
     };
+    let respond = Box::new(move |answer| {
+        // The thread may have given up waiting.
+        let _ = respond.send(answer);
+    });
     if !inbox.offer(Event::Operator(OperatorCall { question, respond })) {
         return failed(503, false, "too many events wait");
     }
@@ -100,6 +111,10 @@
         AdminAnswer::Tables(it) => json(200, it),
         AdminAnswer::History(it) => json(200, it),
         AdminAnswer::Claims(it) => json(200, it),
+        AdminAnswer::Catalog(Some(it)) => {
+            Handled { status: 200, kind: "application/json", body: it.to_string() }
+        }
+        AdminAnswer::Catalog(None) => failed(404, false, "no catalog was accepted yet"),
         AdminAnswer::Done => json(200, "done"),
     }
 }
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -10,6 +10,7 @@
     },
     serde::{Deserialize, Serialize},
     snafu::Snafu,
+    std::sync::Arc,
     tokio::sync::oneshot,
 };
 
@@ -33,6 +34,7 @@
 pub enum Admin {
     Status,
     Tables,
+    Catalog,
     History,
     Unknown,
     AddVoter(InstanceName),
@@ -45,6 +47,7 @@
 pub enum AdminAnswer {
     Status(Status),
     Tables(TablesView),
+    Catalog(Option<Arc<str>>),
     History(Vec<HistoryRow>),
     Claims(Vec<ClaimView>),
     Done,
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -2,16 +2,26 @@
 
 use {
     super::{MAX_MESSAGE, PeerAnswer, PeerCall},
-    crate::event::{Event, Inbox},
-    coord::{control::Envelope, ids::SystemId},
+    crate::{
+        event::{Event, Inbox},
+        relay::{GatherAnswer, GatherAsk, GatherEvent, Handle},
+    },
+    coord::{
+        control::Envelope,
+        ids::{PoolName, SystemId},
+    },
     jsonrpsee::{
         RpcModule,
+        core::RegisterMethodError,
         server::{Server, ServerConfig, ServerHandle},
         types::{ErrorObjectOwned, Params},
     },
     std::{io, net::TcpListener, sync::Arc, time::Duration},
     subtle::ConstantTimeEq,
-    tokio::{sync::oneshot, time::timeout},
+    tokio::{
+        sync::{mpsc::UnboundedSender, oneshot},
+        time::timeout,
+    },
 };
 
 /// The most connections of peers at one time.
@@ -24,6 +34,7 @@
 struct Context {
     inbox: Inbox,
     secret: Arc<str>,
+    gatherers: UnboundedSender<GatherEvent>,
 }
 
 /// Serves calls of peers on a listener.
@@ -34,6 +45,7 @@
     listener: TcpListener,
     secret: Arc<str>,
     inbox: Inbox,
+    gatherers: UnboundedSender<GatherEvent>,
 ) -> io::Result<ServerHandle> {
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE)
@@ -43,7 +55,7 @@
         .set_tcp_no_delay(true)
         .build();
     let server = Server::builder().set_config(config).build_from_tcp(listener)?;
-    let mut module = RpcModule::new(Context { inbox, secret });
+    let mut module = RpcModule::new(Context { inbox, secret, gatherers });
     module
         .register_async_method(
             "call",
@@ -55,9 +67,44 @@
             hello(params, &context).await
         })
         .expect("the method has a name of its own");
+    register_gathering(&mut module).expect("the methods have names of their own");
     Ok(server.start(module))
 }
 
+/// Calls for the gatherers of this instance.
+fn register_gathering(module: &mut RpcModule<Context>) -> Result<(), RegisterMethodError> {
+    module.register_async_method("gather", |params, context, _| async move {
+        gather(params, &context).await
+    })?;
+    module.register_method("gather_cancel", |params, context, _| {
+        let (secret, id): (String, u64) = params.parse()?;
+        check(&secret, context)?;
+        pass(context, GatherEvent::Cancel(id))
+    })?;
+    module.register_method("gather_free", |params, context, _| {
+        let (secret, pool, results): (String, PoolName, Vec<Handle>) = params.parse()?;
+        check(&secret, context)?;
+        pass(context, GatherEvent::Free { pool, results })
+    })?;
+    Ok(())
+}
+
+async fn gather(
+    params: Params<'static>,
+    context: &Context,
+) -> Result<GatherAnswer, ErrorObjectOwned> {
+    let (secret, ask): (String, Box<GatherAsk>) = params.parse()?;
+    check(&secret, context)?;
+    let (respond, answer) = oneshot::channel();
+    pass(context, GatherEvent::Ask { ask, respond })?;
+    answer.await.map_err(|_| error(BUSY, "the pieces were dropped"))
+}
+
+fn pass(context: &Context, event: GatherEvent) -> Result<(), ErrorObjectOwned> {
+    let sent = context.gatherers.send(event);
+    sent.map_err(|_| error(BUSY, "this instance doesn't gather"))
+}
+
 async fn call(params: Params<'static>, context: &Context) -> Result<PeerAnswer, ErrorObjectOwned> {
     let (secret, envelope): (String, Envelope<PeerCall>) = params.parse()?;
     check(&secret, context)?;
--- /dev/null
+++ b/crates/daemon/src/relay/ask.rs
@@ -0,0 +1,196 @@
+//! A request of a caller as its head tells, and the request to an endpoint
+//! that is made of it.
+
+use {
+    super::{
+        Handle, HeaderNames,
+        answer::{Denial, is_connection_header},
+        view::View,
+    },
+    coord::{
+        catalog::{ApiKey, RelayRoute},
+        ids::{PoolName, TeamName},
+        time::Millis,
+    },
+    http_body_util::Full,
+    hyper::{
+        HeaderMap, Request, Uri,
+        body::Bytes,
+        header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
+        http::request::Parts,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// How much less than what is left an endpoint is told, for the way back.
+const WAY_BACK: Duration = Duration::from_millis(5);
+
+/// A proper request with its route.
+pub struct Ask {
+    /// The id of the caller's attempt.
+    pub id: String,
+    pub route: RelayRoute,
+    pub pool: PoolName,
+    pub team: Option<TeamName>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    pub received: Instant,
+    /// By when an answer is on time; of a stream, its first event.
+    pub target: Instant,
+    /// By when the caller has its final answer.
+    pub until: Instant,
+    /// What requests that share a cached prompt have in common.
+    pub affinity: Option<Vec<u8>>,
+    /// The number of pieces of each stage.
+    pub counts: Vec<u32>,
+    /// What stages without inputs work on.
+    pub source: String,
+    head: Parts,
+}
+
+impl Ask {
+    /// Reads a head.
+    ///
+    /// # Errors
+    /// The request can't be relayed; it has not run.
+    pub fn read(
+        view: &View,
+        names: &HeaderNames,
+        head: Parts,
+        received: Instant,
+    ) -> Result<Self, Denial> {
+        if !view.has_catalog() {
+            return Err(Denial::NoCatalog);
+        }
+        let at = view.route(host(&head), head.uri.path()).ok_or(Denial::NoRoute)?;
+        let route = view.catalog().routes[at].clone();
+        let (team, priority) = team(view, names, &head, &route)?;
+        let id = text(&head, &names.request).filter(|it| !it.is_empty());
+        let id = id.ok_or(Denial::Malformed)?.to_owned();
+        let waits = match text(&head, &names.deadline) {
+            Some(it) => Millis(it.trim().parse().map_err(|_| Denial::Malformed)?),
+            None => route.timeout,
+        };
+        let counts = counts(&head, names, &route)?;
+        let pool = route.pick(rand::random()).ok_or(Denial::NoRoute)?.clone();
+        Ok(Self {
+            id,
+            pool,
+            team,
+            priority: priority.unwrap_or(route.priority),
+            received,
+            target: received + Duration::from_millis(route.target.0),
+            until: received + Duration::from_millis(waits.min(route.timeout).0),
+            affinity: route.sticky.then(|| affinity(&head, names)).flatten(),
+            counts,
+            source: text(&head, &names.source).unwrap_or_default().to_owned(),
+            route,
+            head,
+        })
+    }
+
+    /// What is left of the caller's time.
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// The request as it goes to an endpoint: the caller's own, less what
+    /// belongs to its connection or is the system's to say.
+    pub fn outgoing(
+        &self,
+        names: &HeaderNames,
+        expected: &str,
+        inputs: &[Handle],
+        body: Bytes,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = HeaderMap::with_capacity(self.head.headers.len() + 4);
+        let named = connection_names(&self.head.headers);
+        for (name, value) in &self.head.headers {
+            let kept = !is_connection_header(name)
+                && !named.contains(name)
+                && !is_own(names, name)
+                && name != CONTENT_LENGTH;
+            if kept {
+                headers.append(name.clone(), value.clone());
+            }
+        }
+        let left = self.left().saturating_sub(WAY_BACK).as_millis().max(1);
+        insert(&mut headers, &names.deadline, &left.to_string());
+        insert(&mut headers, &names.expected, expected);
+        if let Some(team) = &self.team {
+            insert(&mut headers, &names.team, team.as_str());
+        }
+        if !inputs.is_empty() {
+            let list: Vec<&str> = inputs.iter().map(|it| it.0.as_str()).collect();
+            insert(&mut headers, &names.inputs, &list.join(","));
+        }
+        let path = self.head.uri.path_and_query().map_or("/", |it| it.as_str());
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = path.parse::<Uri>().expect("it was part of a valid target");
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// The host that the request is for.
+fn host(head: &Parts) -> &str {
+    let stated = head.headers.get(HOST).and_then(|it| it.to_str().ok());
+    stated.or(head.uri.host()).unwrap_or_default()
+}
+
+fn text<'a>(head: &'a Parts, name: &HeaderName) -> Option<&'a str> {
+    head.headers.get(name).and_then(|it| it.to_str().ok())
+}
+
+fn team(
+    view: &View,
+    names: &HeaderNames,
+    head: &Parts,
+    route: &RelayRoute,
+) -> Result<(Option<TeamName>, Option<u8>), Denial> {
+    if !view.catalog().has_teams() {
+        return Ok((None, None));
+    }
+    let key = text(head, &names.key).and_then(|it| it.strip_prefix("Bearer "));
+    let known = key.and_then(|it| view.team(&ApiKey(it.trim().to_owned())));
+    match known {
+        Some((team, priority)) => Ok((Some(team.clone()), *priority)),
+        None if route.public => Ok((None, None)),
+        None => Err(Denial::NoKey),
+    }
+}
+
+/// The number of pieces of each stage; one each where the caller says nothing.
+fn counts(head: &Parts, names: &HeaderNames, route: &RelayRoute) -> Result<Vec<u32>, Denial> {
+    let stages = route.stages.len();
+    let Some(list) = text(head, &names.pieces).filter(|_| stages > 0) else {
+        return Ok(vec![1; stages]);
+    };
+    let counts: Result<Vec<u32>, _> = list.split(',').map(|it| it.trim().parse()).collect();
+    counts.ok().filter(|it| it.len() == stages).ok_or(Denial::Malformed)
+}
+
+/// All parts of the prompt but the last, which is the request's own.
+fn affinity(head: &Parts, names: &HeaderNames) -> Option<Vec<u8>> {
+    let parts = text(head, &names.parts)?;
+    let shared = parts.rsplit_once(',').map_or(parts, |(shared, _)| shared);
+    Some(shared.as_bytes().to_vec())
+}
+
+/// Headers that only the system sets, or that it replaces.
+fn is_own(names: &HeaderNames, name: &HeaderName) -> bool {
+    let own = [&names.deadline, &names.key, &names.team, &names.expected, &names.inputs];
+    own.contains(&name) || names.reserved.contains(name)
+}
+
+/// The headers that the sender's connection header names.
+pub fn connection_names(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|it| it.to_str().ok());
+    values.flat_map(|it| it.split(',')).filter_map(|it| it.trim().parse().ok()).collect()
+}
+
+fn insert(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+    let value = HeaderValue::from_str(value).expect("the value is printable");
+    headers.insert(name.clone(), value);
+}
--- /dev/null
+++ b/crates/daemon/src/relay/counts.rs
@@ -0,0 +1,105 @@
+//! How requests ended: one log line and the metrics of each.
+
+use {
+    super::{ask::Ask, relayed::HeldGuard},
+    crate::telemetry::SeriesBound,
+    metrics::{counter, histogram},
+    std::{cell::RefCell, rc::Rc, time::Instant},
+};
+
+/// The most routes, and the most teams, with series of their own.
+const MAX_SERIES: usize = 100;
+
+/// Which labels have series of their own.
+pub struct Counts {
+    routes: RefCell<SeriesBound>,
+    teams: RefCell<SeriesBound>,
+}
+
+impl Default for Counts {
+    fn default() -> Self {
+        let bound = || RefCell::new(SeriesBound::new(MAX_SERIES));
+        Self { routes: bound(), teams: bound() }
+    }
+}
+
+/// A held request. Dropped without an end, its caller has left.
+pub struct Ending {
+    request: String,
+    route: String,
+    team: String,
+    pool: String,
+    version: u64,
+    received: Instant,
+    first: Option<Instant>,
+    bytes: usize,
+    sends: u32,
+    endpoint: Option<String>,
+    done: bool,
+    counts: Rc<Counts>,
+    _held: HeldGuard,
+}
+
+impl Ending {
+    /// Starts to hold a request.
+    pub fn new(ask: &Ask, version: u64, counts: Rc<Counts>, held: HeldGuard) -> Self {
+        let team = ask.team.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string);
+        Self {
+            request: ask.id.clone(),
+            route: ask.route.name.to_string(),
+            team,
+            pool: ask.pool.to_string(),
+            version,
+            received: ask.received,
+            first: None,
+            bytes: 0,
+            sends: 0,
+            endpoint: None,
+            done: false,
+            counts,
+            _held: held,
+        }
+    }
+
+    /// Notes that the request is being sent to an endpoint.
+    pub fn send(&mut self, endpoint: &str) {
+        self.sends += 1;
+        self.endpoint = Some(endpoint.to_owned());
+    }
+
+    /// Notes bytes of the answer.
+    pub fn pass(&mut self, bytes: usize) {
+        self.first.get_or_insert_with(Instant::now);
+        self.bytes += bytes;
+    }
+
+    /// Notes how the request ended, once.
+    pub fn end(&mut self, outcome: &'static str) {
+        if std::mem::replace(&mut self.done, true) {
+            return;
+        }
+        let took = self.received.elapsed();
+        let first = self.first.map(|it| it.duration_since(self.received));
+        log::info!(
+            request = self.request.as_str(), outcome = outcome, route = self.route.as_str(),
+            team = self.team.as_str(), pool = self.pool.as_str(),
+            endpoint = self.endpoint.as_deref().unwrap_or("none"), sends = self.sends,
+            bytes = self.bytes, first_ms = first.map_or(-1, |it| it.as_millis() as i64),
+            took_ms = took.as_millis() as u64, catalog = self.version;
+            "[relay] ended"
+        );
+        let route = self.counts.routes.borrow_mut().label(&self.route);
+        let team = self.counts.teams.borrow_mut().label(&self.team);
+        counter!("mangobend_relayed_total", "route" => route.clone(), "outcome" => outcome)
+            .increment(1);
+        let first = first.unwrap_or(took).as_secs_f64();
+        histogram!("mangobend_relay_seconds_by_route", "route" => route).record(first);
+        histogram!("mangobend_relay_seconds_by_team", "team" => team).record(first);
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.end("caller_left");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/front.rs
@@ -0,0 +1,171 @@
+//! Takes requests to relay.
+
+use {
+    super::{
+        PieceError,
+        answer::{Answer, Denial, close_after, deny, mark, whole},
+        ask::Ask,
+        counts::Ending,
+        forward::Forward,
+        relay::Relay,
+        stages::{self, Results},
+        upstream::guard,
+    },
+    coord::time::Millis,
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::{
+        Request, Response, StatusCode,
+        body::{Bytes, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    metrics::counter,
+    std::{
+        convert::Infallible,
+        net::TcpListener,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpStream, time::timeout_at},
+};
+
+/// How much longer than the catalog says a connection may stay without a
+/// request, so that the caller gives it up first.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// How long accepting waits after an error, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// When a caller should come back whose stages can't be done in time: about
+/// the time of two calls of a stage.
+const COME_BACK: Millis = Millis(500);
+/// When a caller should come back to an instance that has no catalog yet.
+const COME_BACK_UNREADY: Millis = Millis(200);
+
+/// Serves callers, and the balancer's questions where they have a listener of
+/// their own, until the process ends.
+pub async fn serve(relay: Rc<Relay>, listener: TcpListener, readiness: Option<TcpListener>) {
+    if let Some(it) = readiness {
+        tokio::task::spawn_local(accept(it, relay.clone(), serve_readiness));
+    }
+    accept(listener, relay, serve_caller).await;
+}
+
+async fn accept<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    relay: Rc<Relay>,
+    serve: fn(Rc<Relay>, TcpStream) -> F,
+) {
+    let listener = tokio::net::TcpListener::from_std(listener);
+    let listener = listener.expect("the listener is non-blocking");
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(relay.clone(), stream));
+            }
+            Err(err) => {
+                log::warn!("[relay] A connection could not be accepted: {err}.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_readiness(relay: Rc<Relay>, stream: TcpStream) {
+    let service = service_fn(move |_: Request<Incoming>| {
+        let status = match relay.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let answer = Response::builder().status(status).body(whole(Bytes::new()));
+        std::future::ready(Ok::<_, Infallible>(answer.expect("the answer's head is valid")))
+    });
+    // A balancer that leaves early asks again.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn serve_caller(relay: Rc<Relay>, stream: TcpStream) {
+    if let Err(err) = guard(&stream) {
+        log::info!(error:% = err; "[relay] connection lost before its first request");
+        return;
+    }
+    let limits = relay.view().catalog().limits.clone();
+    let idle = Duration::from_millis(limits.idle.0) + IDLE_MARGIN;
+    let mut server = http1::Builder::new();
+    server.timer(TokioTimer::new()).header_read_timeout(idle);
+    server.max_buf_size((limits.head.0 as usize).max(MIN_BUFFER));
+    let service = service_fn(move |request| answer(relay.clone(), request));
+    // How each request ended is logged with the request.
+    let _ = server.serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// The least that the server's buffer takes.
+const MIN_BUFFER: usize = 16 << 10;
+
+async fn answer(relay: Rc<Relay>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+    let mut answer = take(&relay, request).await;
+    if relay.relayed.is_stopping() {
+        close_after(&mut answer);
+    }
+    Ok(answer)
+}
+
+async fn take(relay: &Rc<Relay>, request: Request<Incoming>) -> Answer {
+    let received = Instant::now();
+    let held = relay.relayed.hold();
+    let view = relay.view();
+    let (head, body) = request.into_parts();
+    let version = view.catalog().version.0;
+    let names = &relay.dialect.headers;
+    let id = head.headers.get(&names.request).cloned();
+    let ask = match Ask::read(&view, names, head, received) {
+        Ok(it) => it,
+        Err(denial) => {
+            let id = id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("none");
+            log::info!(
+                request = id, outcome = denial.name(), catalog = version;
+                "[relay] refused"
+            );
+            counter!("mangobend_relay_refused_total", "reason" => denial.name()).increment(1);
+            let after = (denial == Denial::NoCatalog).then_some(COME_BACK_UNREADY);
+            return deny(denial, after);
+        }
+    };
+    let mut ending = Ending::new(&ask, version, relay.counts.clone(), held);
+    let mut answer = match prepare(relay, &ask, body).await {
+        Ok((body, results)) => {
+            let relay = relay.clone();
+            return Forward { relay, ask, body, results, ending }.run().await;
+        }
+        Err((denial, after)) => {
+            ending.end(denial.name());
+            deny(denial, after)
+        }
+    };
+    mark(&mut answer, &ask, &names.request);
+    answer
+}
+
+/// Reads the body and runs the stages.
+async fn prepare(
+    relay: &Rc<Relay>,
+    ask: &Ask,
+    body: Incoming,
+) -> Result<(Bytes, Results), (Denial, Option<Millis>)> {
+    let limit = relay.view().catalog().limits.body.0 as usize;
+    let until = ask.until.into();
+    let body = match timeout_at(until, Limited::new(body, limit).collect()).await {
+        Ok(Ok(it)) => it.to_bytes(),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => return Err((Denial::TooLarge, None)),
+        Ok(Err(_)) => return Err((Denial::Malformed, None)),
+        Err(_) => return Err((Denial::TooLate, None)),
+    };
+    let mut results = stages::run(relay, ask).await;
+    if matches!(results, Err(PieceError::Gone)) {
+        results = stages::run(relay, ask).await;
+    }
+    match results {
+        Ok(it) => Ok((body, it)),
+        Err(PieceError::Late) => Err((Denial::TooLate, Some(COME_BACK))),
+        Err(_) => Err((Denial::NoEndpoint, Some(COME_BACK))),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/gatherer.rs
@@ -0,0 +1,582 @@
+//! Gathers pieces of all instances into calls of the pools' endpoints.
+
+use {
+    super::{
+        Dialect, GatherAnswer, GatherAsk, GatherEvent, Handle, PieceError, PieceItem, PieceResult,
+        relay::time_since,
+        upstream::{SendError, Upstream},
+        view::View,
+    },
+    coord::{
+        catalog::BatchTerms,
+        ids::{Bytes, EndpointName, PoolName},
+        relay::{CallEnd, Gather, GatherCall, GroupId, Piece, PieceId},
+        tables::Endpoint,
+        time::{Millis, Time},
+    },
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        Method, Request, StatusCode,
+        header::{CONTENT_TYPE, HOST},
+    },
+    indexmap::{IndexMap, IndexSet},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::{Rc, Weak},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::{sleep, timeout},
+    },
+};
+
+/// How many times longer than expected a call may take; endpoints differ in
+/// speed.
+const PATIENCE: u64 = 3;
+/// How much longer than that, for the way and for fetching inputs.
+const PATIENCE_MORE: Millis = Millis(500);
+/// How often one piece is called.
+const MOST_TRIES: u32 = 3;
+/// How long freed results are collected before their endpoint is told.
+const FREE_EVERY: Duration = Duration::from_millis(40);
+/// The longest answer of a call.
+const MAX_ANSWER: usize = 1 << 20;
+
+/// One ask on its way.
+struct AskRow {
+    ask: GatherAsk,
+    target: Time,
+    due: Time,
+    results: RefCell<Vec<Option<Handle>>>,
+    respond: RefCell<Option<oneshot::Sender<GatherAnswer>>>,
+}
+
+#[derive(Clone)]
+struct Waiting {
+    row: Rc<AskRow>,
+    number: u32,
+    tries: u32,
+}
+
+/// The gatherer of one pool.
+struct PoolRow {
+    gather: Gather,
+    endpoints: IndexMap<EndpointName, Endpoint>,
+    pieces: HashMap<PieceId, Waiting>,
+    asks: HashMap<u64, Rc<AskRow>>,
+    /// Results that take up room.
+    held: HashMap<Handle, (EndpointName, Bytes)>,
+    freeing: IndexMap<EndpointName, Vec<Handle>>,
+    /// Whether the endpoints are about to be told.
+    flushes: bool,
+    /// Until when the pump sleeps, if it does.
+    wakes: Option<Time>,
+}
+
+/// The gatherers of this instance.
+pub struct Gatherers {
+    dialect: Arc<Dialect>,
+    upstream: Rc<Upstream>,
+    pools: RefCell<IndexMap<PoolName, PoolRow>>,
+    own: Weak<Self>,
+    pieces: Cell<u64>,
+    start: Instant,
+}
+
+/// Cancels an ask whose asker has left.
+struct CancelGuard {
+    gatherers: Rc<Gatherers>,
+    id: Option<u64>,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.gatherers.cancel(id);
+        }
+    }
+}
+
+impl Gatherers {
+    /// Gatherers without a pool.
+    pub fn new(dialect: Arc<Dialect>, upstream: Rc<Upstream>, start: Instant) -> Rc<Self> {
+        Rc::new_cyclic(|own| Self {
+            dialect,
+            upstream,
+            pools: RefCell::default(),
+            own: own.clone(),
+            pieces: Cell::new(0),
+            start,
+        })
+    }
+
+    /// Takes in the pools and endpoints of another state of the tables.
+    pub fn reload(&self, view: &View) {
+        let mut pools = self.pools.borrow_mut();
+        let batches = view.catalog().services.iter();
+        let terms: IndexMap<&PoolName, BatchTerms> =
+            batches.filter_map(|(name, it)| Some((name, it.batch?))).collect();
+        pools.retain(|name, _| terms.contains_key(name));
+        for (name, terms) in terms {
+            let row = pools.entry(name.clone()).or_insert_with(|| PoolRow::new(terms));
+            row.reload(terms, view.endpoints(name));
+        }
+        let names: Vec<PoolName> = pools.keys().cloned().collect();
+        drop(pools);
+        names.iter().for_each(|it| self.pump(it));
+    }
+
+    /// Takes in what peers ask, until the process ends.
+    pub async fn serve(self: Rc<Self>, mut asked: mpsc::UnboundedReceiver<GatherEvent>) {
+        while let Some(event) = asked.recv().await {
+            match event {
+                GatherEvent::Ask { ask, respond } => self.take(*ask, respond),
+                GatherEvent::Cancel(id) => self.cancel(id),
+                GatherEvent::Free { pool, results } => self.free(&pool, results),
+            }
+        }
+    }
+
+    /// Gathers the pieces of an ask of this instance.
+    pub async fn ask(self: &Rc<Self>, ask: GatherAsk) -> GatherAnswer {
+        let mut guard = CancelGuard { gatherers: self.clone(), id: Some(ask.id) };
+        let (respond, answer) = oneshot::channel();
+        self.take(ask, respond);
+        let answer = answer.await.unwrap_or(Err(PieceError::Failed));
+        guard.id = None;
+        answer
+    }
+
+    /// Gives results up.
+    pub fn free(&self, pool: &PoolName, results: Vec<Handle>) {
+        let mut pools = self.pools.borrow_mut();
+        let Some(row) = pools.get_mut(pool) else {
+            return;
+        };
+        results.into_iter().for_each(|it| row.give_up(it));
+        drop(pools);
+        self.pump(pool);
+    }
+
+    /// Drops what waits of an ask.
+    pub fn cancel(&self, id: u64) {
+        let mut pools = self.pools.borrow_mut();
+        let found = pools.iter_mut().find(|(_, row)| row.asks.contains_key(&id));
+        let Some((pool, row)) = found else {
+            return;
+        };
+        row.drop_ask(id);
+        let pool = pool.clone();
+        drop(pools);
+        self.pump(&pool);
+    }
+
+    fn take(&self, ask: GatherAsk, respond: oneshot::Sender<GatherAnswer>) {
+        let now = time_since(self.start);
+        let pool = ask.pool.clone();
+        let mut pools = self.pools.borrow_mut();
+        let row = pools.get_mut(&pool).filter(|it| !it.endpoints.is_empty());
+        let Some(row) = row else {
+            log::info!(
+                request = ask.request.as_str(), pool:% = pool;
+                "[relay] stage refused: the pool has no endpoint"
+            );
+            // The asker may have left.
+            let _ = respond.send(Err(PieceError::Failed));
+            return;
+        };
+        let first = self.pieces.get();
+        self.pieces.set(first + u64::from(ask.count));
+        row.add(now, first, ask, respond);
+        drop(pools);
+        self.pump(&pool);
+    }
+
+    /// Starts the calls that can be made now.
+    fn pump(&self, pool: &PoolName) {
+        let now = time_since(self.start);
+        let mut pools = self.pools.borrow_mut();
+        let Some(row) = pools.get_mut(pool) else {
+            return;
+        };
+        for id in row.gather.expire(now) {
+            row.fail(id, PieceError::Late);
+        }
+        if !row.freeing.is_empty() && !std::mem::replace(&mut row.flushes, true) {
+            let (own, pool) = (self.owned(), pool.clone());
+            tokio::task::spawn_local(async move {
+                sleep(FREE_EVERY).await;
+                own.flush_freed(&pool).await;
+            });
+        }
+        while let Some(call) = row.gather.next(now) {
+            let endpoint = row.endpoints[&call.endpoint].clone();
+            let pieces = row.start(&call);
+            let (own, pool) = (self.owned(), pool.clone());
+            tokio::task::spawn_local(async move { own.call(pool, endpoint, call, pieces).await });
+        }
+        let wake =
+            row.gather.wake(now).filter(|it| row.wakes.is_none_or(|old| old <= now || *it < old));
+        if let Some(at) = wake {
+            row.wakes = Some(at);
+            let (own, pool) = (self.owned(), pool.clone());
+            tokio::task::spawn_local(async move {
+                sleep(Duration::from_millis(at.since(now).0)).await;
+                own.pump(&pool);
+            });
+        }
+    }
+
+    async fn call(
+        self: Rc<Self>,
+        pool: PoolName,
+        endpoint: Endpoint,
+        call: GatherCall,
+        pieces: Vec<Waiting>,
+    ) {
+        let began = time_since(self.start);
+        let expected = self.with(&pool, |row| row.gather.duration(call.pieces.len()));
+        let patience = expected.map_or(Millis(0), |it| Millis(it.0 * PATIENCE)) + PATIENCE_MORE;
+        let items: Vec<PieceItem> = pieces.iter().map(|it| it.item(began)).collect();
+        let sent = self.run(&endpoint, &items);
+        let answer = match timeout(Duration::from_millis(patience.0), sent).await {
+            Ok(it) => it,
+            Err(_) => Err(CallError::Silent),
+        };
+        let now = time_since(self.start);
+        let outcome = answer.as_ref().map_or_else(CallError::name, |_| "answered");
+        let results = answer.as_ref().map_or(&[][..], Vec::as_slice);
+        let made = results.iter().filter(|it| it.is_ok()).count();
+        let failed = results.iter().find_map(|it| it.as_ref().err());
+        log::info!(
+            pool:% = pool, endpoint = endpoint.name.as_str(), pieces = call.pieces.len(),
+            took_ms = now.since(began).0, outcome = outcome, made = made, failed:? = failed,
+            used = self.with(&pool, |row| row.gather.used(&endpoint.name)).unwrap_or_default(),
+            waiting = self.with(&pool, |row| row.gather.len()).unwrap_or_default();
+            "[relay] pieces called"
+        );
+        let keeps = self.with(&pool, |row| row.finish(now, &call, &pieces, answer));
+        if let Some(keeps) = keeps {
+            self.pump(&pool);
+            sleep(Duration::from_millis(keeps.0)).await;
+            self.with(&pool, |row| row.run_out(&pieces));
+        }
+    }
+
+    async fn run(
+        &self,
+        endpoint: &Endpoint,
+        items: &[PieceItem],
+    ) -> Result<Vec<PieceResult>, CallError> {
+        let codec = &self.dialect.batches;
+        let request = self.request(endpoint, codec.run_path, (codec.encode)(items));
+        let sent = self.upstream.send(endpoint, request).await;
+        let (response, lease) = sent.map_err(|source| CallError::Lost { source })?;
+        let status = response.status();
+        let unrun = response.headers().contains_key(&self.dialect.headers.unrun);
+        let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
+        let body = body.map_err(|_| CallError::Improper)?.to_bytes();
+        lease.close();
+        if status != StatusCode::OK {
+            let full = unrun || status == StatusCode::MISDIRECTED_REQUEST;
+            return Err(if full { CallError::Unrun } else { CallError::Improper });
+        }
+        let results = (codec.decode)(&body).ok().filter(|it| it.len() == items.len());
+        results.ok_or(CallError::Improper)
+    }
+
+    async fn flush_freed(&self, pool: &PoolName) {
+        let freed = self.with(pool, |row| {
+            row.flushes = false;
+            std::mem::take(&mut row.freeing)
+        });
+        let freed = freed.unwrap_or_default();
+        for (name, handles) in freed {
+            let endpoint = self.with(pool, |row| row.endpoints.get(&name).cloned()).flatten();
+            let Some(endpoint) = endpoint else {
+                continue;
+            };
+            let codec = &self.dialect.batches;
+            let body = (codec.encode_free)(&handles);
+            let request = self.request(&endpoint, codec.free_path, body);
+            match self.upstream.send(&endpoint, request).await {
+                Ok((response, lease)) => {
+                    if response.status() != StatusCode::OK {
+                        log::info!(
+                            endpoint = name.as_str(), results = handles.len(),
+                            status = response.status().as_u16();
+                            "[relay] results not freed"
+                        );
+                    }
+                    if response.into_body().collect().await.is_ok() {
+                        lease.close();
+                    }
+                }
+                // The endpoint drops them by itself when their time has run out.
+                Err(err) => log::info!(
+                    endpoint = name.as_str(), results = handles.len(), error:% = err;
+                    "[relay] results not freed"
+                ),
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        endpoint: &Endpoint,
+        path: &'static str,
+        body: Vec<u8>,
+    ) -> Request<Full<hyper::body::Bytes>> {
+        Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(HOST, endpoint.addr.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .header(&self.dialect.headers.expected, endpoint.name.as_str())
+            .body(Full::new(body.into()))
+            .expect("the head is valid")
+    }
+
+    fn with<T>(&self, pool: &PoolName, act: impl FnOnce(&mut PoolRow) -> T) -> Option<T> {
+        self.pools.borrow_mut().get_mut(pool).map(act)
+    }
+
+    fn owned(&self) -> Rc<Self> {
+        self.own.upgrade().expect("it is held while its methods run")
+    }
+}
+
+/// Why a call has no results.
+enum CallError {
+    Unrun,
+    Silent,
+    Improper,
+    Lost { source: SendError },
+}
+
+impl CallError {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Unrun => "refused",
+            Self::Silent => "silent",
+            Self::Improper => "improper",
+            Self::Lost { source } if source.is_unsent() => "unsent",
+            Self::Lost { .. } => "lost",
+        }
+    }
+
+    /// Whether the endpoint has begun nothing.
+    fn is_unrun(&self) -> bool {
+        match self {
+            Self::Unrun => true,
+            Self::Lost { source } => source.is_unsent(),
+            Self::Silent | Self::Improper => false,
+        }
+    }
+}
+
+impl Waiting {
+    fn item(&self, now: Time) -> PieceItem {
+        let ask = &self.row.ask;
+        PieceItem {
+            request: ask.request.clone(),
+            stage: ask.stage,
+            number: self.number,
+            left: self.row.due.since(now),
+            input: ask.input.clone(),
+        }
+    }
+}
+
+impl PoolRow {
+    fn new(terms: BatchTerms) -> Self {
+        Self {
+            gather: Gather::new(terms),
+            endpoints: IndexMap::new(),
+            pieces: HashMap::new(),
+            asks: HashMap::new(),
+            held: HashMap::new(),
+            freeing: IndexMap::new(),
+            flushes: false,
+            wakes: None,
+        }
+    }
+
+    fn reload(&mut self, terms: BatchTerms, endpoints: &[Endpoint]) {
+        self.endpoints = endpoints.iter().map(|it| (it.name.clone(), it.clone())).collect();
+        let names: IndexSet<EndpointName> = self.endpoints.keys().cloned().collect();
+        self.gather.reload(terms, &names);
+        if names.is_empty() {
+            for id in self.pieces.keys().copied().collect::<Vec<_>>() {
+                self.fail(id, PieceError::Failed);
+            }
+        }
+    }
+
+    fn add(
+        &mut self,
+        now: Time,
+        first: u64,
+        ask: GatherAsk,
+        respond: oneshot::Sender<GatherAnswer>,
+    ) {
+        let count = ask.count;
+        let row = Rc::new(AskRow {
+            target: now + ask.target,
+            due: now + ask.due,
+            results: RefCell::new(vec![None; count as usize]),
+            respond: RefCell::new(Some(respond)),
+            ask,
+        });
+        self.asks.insert(row.ask.id, row.clone());
+        for number in 0..count {
+            let id = PieceId(first + u64::from(number));
+            self.wait(id, Waiting { row: row.clone(), number, tries: 0 });
+        }
+    }
+
+    fn wait(&mut self, id: PieceId, waiting: Waiting) {
+        let row = &waiting.row;
+        self.gather.push(Piece {
+            id,
+            group: GroupId(row.ask.id),
+            priority: row.ask.priority,
+            target: row.target,
+            due: row.due,
+            size: row.ask.size,
+        });
+        self.pieces.insert(id, waiting);
+    }
+
+    /// Takes the pieces of a call out of the queue.
+    fn start(&mut self, call: &GatherCall) -> Vec<Waiting> {
+        let ids = call.pieces.iter().map(|it| it.id);
+        ids.filter_map(|id| self.pieces.remove(&id)).collect()
+    }
+
+    /// Takes in the end of a call. Returns for how long its results are kept.
+    fn finish(
+        &mut self,
+        now: Time,
+        call: &GatherCall,
+        pieces: &[Waiting],
+        answer: Result<Vec<PieceResult>, CallError>,
+    ) -> Millis {
+        let full = |it: &PieceResult| matches!(it, Err(PieceError::Room));
+        let end = match &answer {
+            Ok(results) if results.iter().any(full) => CallEnd::Full,
+            Ok(_) => CallEnd::Answered,
+            Err(_) => CallEnd::Failed,
+        };
+        self.gather.end(now, call, end);
+        match answer {
+            Ok(results) => {
+                for ((piece, waiting), result) in call.pieces.iter().zip(pieces).zip(results) {
+                    self.take_result(call, piece, waiting, result);
+                }
+            }
+            Err(err) => {
+                let cost = u32::from(!err.is_unrun());
+                for (piece, waiting) in call.pieces.iter().zip(pieces) {
+                    self.again(piece.id, waiting, cost);
+                }
+            }
+        }
+        self.gather.keeps()
+    }
+
+    fn take_result(
+        &mut self,
+        call: &GatherCall,
+        piece: &Piece,
+        waiting: &Waiting,
+        result: PieceResult,
+    ) {
+        match result {
+            Ok(handle) => {
+                self.held.insert(handle.clone(), (call.endpoint.clone(), piece.size));
+                waiting.row.results.borrow_mut()[waiting.number as usize] = Some(handle.clone());
+                match self.asks.contains_key(&waiting.row.ask.id) {
+                    true => self.settle(&waiting.row),
+                    false => self.give_up(handle),
+                }
+                return;
+            }
+            Err(PieceError::Room) => self.again(piece.id, waiting, 0),
+            Err(PieceError::Failed | PieceError::Unreachable) => self.again(piece.id, waiting, 1),
+            Err(err) => self.fail_ask(&waiting.row, err),
+        }
+        self.gather.free_room(&call.endpoint, piece.size);
+    }
+
+    /// Answers an ask whose pieces are all done.
+    fn settle(&mut self, row: &Rc<AskRow>) {
+        let done: Option<Vec<Handle>> = row.results.borrow().iter().cloned().collect();
+        let Some(results) = done else {
+            return;
+        };
+        self.asks.remove(&row.ask.id);
+        self.gather.close_group(GroupId(row.ask.id));
+        let respond = row.respond.borrow_mut().take();
+        if let Some(Err(Ok(results))) = respond.map(|it| it.send(Ok(results))) {
+            results.into_iter().for_each(|it| self.give_up(it));
+        }
+    }
+
+    fn again(&mut self, id: PieceId, waiting: &Waiting, cost: u32) {
+        let tries = waiting.tries + cost;
+        if tries >= MOST_TRIES {
+            self.fail_ask(&waiting.row, PieceError::Failed);
+        } else if self.asks.contains_key(&waiting.row.ask.id) {
+            self.wait(id, Waiting { tries, ..waiting.clone() });
+        }
+    }
+
+    fn fail(&mut self, id: PieceId, err: PieceError) {
+        if let Some(waiting) = self.pieces.remove(&id) {
+            self.fail_ask(&waiting.row, err);
+        }
+    }
+
+    fn fail_ask(&mut self, row: &Rc<AskRow>, err: PieceError) {
+        if let Some(respond) = row.respond.borrow_mut().take() {
+            // The asker may have left.
+            let _ = respond.send(Err(err));
+        }
+        self.drop_ask(row.ask.id);
+    }
+
+    fn drop_ask(&mut self, id: u64) {
+        let Some(row) = self.asks.remove(&id) else {
+            return;
+        };
+        self.pieces.retain(|_, it| it.row.ask.id != id);
+        self.gather.close_group(GroupId(id));
+        let made: Vec<Handle> = row.results.borrow().iter().flatten().cloned().collect();
+        made.into_iter().for_each(|it| self.give_up(it));
+    }
+
+    /// Frees the room of a result and has its endpoint told.
+    fn give_up(&mut self, handle: Handle) {
+        if let Some((endpoint, size)) = self.held.remove(&handle) {
+            self.gather.free_room(&endpoint, size);
+            self.freeing.entry(endpoint).or_default().push(handle);
+        }
+    }
+
+    /// Takes in that the time of a call's results has run out.
+    fn run_out(&mut self, pieces: &[Waiting]) {
+        for it in pieces {
+            let results = it.row.results.borrow();
+            let Some(handle) = &results[it.number as usize] else {
+                continue;
+            };
+            if let Some((endpoint, size)) = self.held.remove(handle) {
+                self.gather.free_room(&endpoint, size);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/mod.rs
@@ -0,0 +1,30 @@
+//! Relays requests byte for byte: callers on one side, endpoints on the other,
+//! the stages of a request gathered into calls in between. Everything here
+//! runs on the network thread; what it may do is decided in `coord::relay`.
+
+mod answer;
+mod ask;
+mod counts;
+mod dialect;
+mod forward;
+mod front;
+mod gatherer;
+mod links;
+mod pieces;
+#[allow(clippy::module_inception)]
+mod relay;
+mod relayed;
+mod settings;
+mod stages;
+mod stream;
+mod upstream;
+mod view;
+
+pub use {
+    dialect::{BatchCodec, Dialect, HeaderNames, PieceInput, PieceItem},
+    front::serve,
+    pieces::{GatherAnswer, GatherAsk, GatherEvent, Handle, PieceError, PieceResult},
+    relay::{Relay, RelayContext},
+    relayed::Relayed,
+    settings::{RelayBounds, RelaySettings},
+};
--- /dev/null
+++ b/crates/daemon/src/relay/pieces.rs
@@ -0,0 +1,73 @@
+//! What instances tell each other about pieces of stages.
+
+use {
+    super::PieceInput,
+    coord::{
+        ids::{Bytes, PoolName},
+        time::Millis,
+    },
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+    std::fmt,
+    tokio::sync::oneshot,
+};
+
+/// Names a result at the endpoint that made it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Handle(pub String);
+
+impl fmt::Display for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// All pieces of one stage of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatherAsk {
+    /// Drawn at random; names the ask when it is cancelled.
+    pub id: u64,
+    pub pool: PoolName,
+    pub request: String,
+    /// The position of the stage in its route.
+    pub stage: usize,
+    pub count: u32,
+    pub input: PieceInput,
+    pub priority: u8,
+    /// The approximate size of one result.
+    pub size: Bytes,
+    /// From the sending of the ask, until when the results help the request to
+    /// be on time, and until when they are of use at all.
+    pub target: Millis,
+    pub due: Millis,
+}
+
+/// What came of one piece.
+pub type PieceResult = Result<Handle, PieceError>;
+
+/// One result for each piece, in order.
+pub type GatherAnswer = Result<Vec<Handle>, PieceError>;
+
+/// Why a stage has no result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PieceError {
+    #[snafu(display("it can't be done in time"))]
+    Late,
+    #[snafu(display("an input is gone"))]
+    Gone,
+    #[snafu(display("the endpoint has no room for the result"))]
+    Room,
+    #[snafu(display("the endpoint failed"))]
+    Failed,
+    #[snafu(display("nobody gathers for the pool"))]
+    Unreachable,
+}
+
+/// Something for the gatherers of this instance, from a peer.
+pub enum GatherEvent {
+    Ask { ask: Box<GatherAsk>, respond: oneshot::Sender<GatherAnswer> },
+    Cancel(u64),
+    Free { pool: PoolName, results: Vec<Handle> },
+}
--- /dev/null
+++ b/crates/daemon/src/relay/relay.rs
@@ -0,0 +1,180 @@
+//! The relay's state on the network thread.
+
+use {
+    super::{
+        Dialect, GatherEvent, RelayBounds, RelaySettings, Relayed, counts::Counts,
+        gatherer::Gatherers, links::Links, upstream::Upstream, view::View,
+    },
+    coord::{
+        ids::{EndpointName, PoolName},
+        relay::Placer,
+        router::RetryBudget,
+        tables::Tables,
+        time::Time,
+    },
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::{mpsc, watch},
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// What the relay is given at its start.
+pub struct RelayContext {
+    pub settings: RelaySettings,
+    pub tables: watch::Receiver<Arc<Tables>>,
+    /// What peers ask this instance to gather.
+    pub asked: mpsc::UnboundedReceiver<GatherEvent>,
+    pub relayed: Arc<Relayed>,
+    /// Where peers reach this instance.
+    pub peer: SocketAddr,
+    pub secret: Arc<str>,
+}
+
+/// All that the relay knows.
+pub struct Relay {
+    pub dialect: Arc<Dialect>,
+    pub relayed: Arc<Relayed>,
+    pub upstream: Rc<Upstream>,
+    pub gatherers: Rc<Gatherers>,
+    pub links: Links,
+    pub counts: Rc<Counts>,
+    pub peer: SocketAddr,
+    placer: Rc<RefCell<Placer>>,
+    view: RefCell<Rc<View>>,
+    budgets: RefCell<HashMap<PoolName, RetryBudget>>,
+    bounds: RelayBounds,
+    start: Instant,
+}
+
+/// Counts a request at an endpoint while it lives.
+pub struct InFlight {
+    placer: Rc<RefCell<Placer>>,
+    endpoint: EndpointName,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.placer.borrow_mut().end(&self.endpoint);
+    }
+}
+
+impl Relay {
+    /// Starts the relay's tasks.
+    pub fn start(context: RelayContext) -> Rc<Self> {
+        let RelayContext { settings, mut tables, asked, relayed, peer, secret } = context;
+        let start = Instant::now();
+        let upstream = Rc::new(Upstream::default());
+        let relay = Rc::new(Self {
+            gatherers: Gatherers::new(settings.dialect.clone(), upstream.clone(), start),
+            dialect: settings.dialect,
+            relayed,
+            upstream,
+            links: Links::new(secret),
+            counts: Rc::default(),
+            peer,
+            placer: Rc::new(RefCell::new(Placer::new(rand::random()))),
+            view: RefCell::new(Rc::new(View::new(tables.borrow_and_update().clone()))),
+            budgets: RefCell::default(),
+            bounds: settings.bounds,
+            start,
+        });
+        tokio::task::spawn_local(relay.clone().follow(tables));
+        tokio::task::spawn_local(relay.gatherers.clone().serve(asked));
+        tokio::task::spawn_local(relay.clone().sweep());
+        relay
+    }
+
+    /// The latest state of the tables.
+    pub fn view(&self) -> Rc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.view().has_catalog() && !self.relayed.is_stopping()
+    }
+
+    /// The present time for the decisions.
+    pub fn now(&self) -> Time {
+        time_since(self.start)
+    }
+
+    /// What is known of the endpoints that this instance sends to.
+    pub fn placer(&self) -> std::cell::RefMut<'_, Placer> {
+        self.placer.borrow_mut()
+    }
+
+    /// Counts a request at an endpoint until the guard is dropped.
+    pub fn begin(&self, endpoint: &EndpointName) -> InFlight {
+        self.placer().begin(endpoint);
+        InFlight { placer: self.placer.clone(), endpoint: endpoint.clone() }
+    }
+
+    /// Earns a part of a retry by a first attempt at a pool.
+    pub fn earn_retry(&self, pool: &PoolName) {
+        self.with_budget(pool, |it, _| it.earn());
+    }
+
+    /// Spends one retry of a pool; false if none is left.
+    pub fn spend_retry(&self, pool: &PoolName) -> bool {
+        self.with_budget(pool, RetryBudget::spend)
+    }
+
+    fn with_budget<T>(&self, pool: &PoolName, act: impl FnOnce(&mut RetryBudget, Time) -> T) -> T {
+        let now = self.now();
+        let terms = self.bounds.budget(self.view().entries);
+        let mut budgets = self.budgets.borrow_mut();
+        let row = budgets.entry(pool.clone()).or_insert_with(|| RetryBudget::new(terms, now));
+        row.reload(terms);
+        act(row, now)
+    }
+
+    async fn follow(self: Rc<Self>, mut tables: watch::Receiver<Arc<Tables>>) {
+        while tables.changed().await.is_ok() {
+            let latest = tables.borrow_and_update().clone();
+            self.reload(latest);
+        }
+    }
+
+    fn reload(&self, tables: Arc<Tables>) {
+        let old = self.view();
+        if old.catalog().version != tables.catalog.version {
+            log::info!(
+                catalog = tables.catalog.version.0, before = old.catalog().version.0,
+                routes = tables.catalog.routes.len(), teams = tables.catalog.teams.len();
+                "[relay] catalog in force"
+            );
+        }
+        let view = Rc::new(View::new(tables));
+        *self.view.borrow_mut() = view.clone();
+        let known = |it: &EndpointName| view.tables.endpoints.contains_key(it);
+        self.placer().retain(known);
+        self.upstream.retain(known);
+        self.gatherers.reload(&view);
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        let mut ticks = interval(SWEEP);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.upstream.expire(Instant::now());
+        }
+    }
+}
+
+/// The time that has passed since the relay's start.
+pub fn time_since(start: Instant) -> Time {
+    Time(start.elapsed().as_millis() as u64 + 1)
+}
--- /dev/null
+++ b/crates/daemon/src/relay/stages.rs
@@ -0,0 +1,202 @@
+//! Runs the stages of a request, each as soon as those that it needs are done.
+
+use {
+    super::{
+        GatherAnswer, GatherAsk, Handle, PieceError, PieceInput, ask::Ask, relay::Relay, view::View,
+    },
+    coord::{
+        ids::PoolName,
+        relay::{Plan, Progress},
+        time::Millis,
+    },
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinSet,
+};
+
+/// The least time that the request itself needs behind its stages: one prompt
+/// read by an idle engine.
+const LEAST_RUN: Millis = Millis(50);
+/// The most instances that are asked to gather for one stage.
+const MOST_HOLDERS: usize = 2;
+
+/// The results of one stage, and who gathered them.
+struct Made {
+    pool: PoolName,
+    by: SocketAddr,
+    results: Vec<Handle>,
+}
+
+/// The results of a request's stages. They are given up when it is dropped.
+pub struct Results {
+    relay: Rc<Relay>,
+    stages: Vec<Option<Made>>,
+    /// Positions of the stages whose results the request itself needs.
+    last: Vec<usize>,
+}
+
+impl Results {
+    /// The results that the request itself needs, in the order of the stages.
+    pub fn inputs(&self) -> Vec<Handle> {
+        let made = self.last.iter().filter_map(|it| self.stages[*it].as_ref());
+        made.flat_map(|it| it.results.iter().cloned()).collect()
+    }
+
+    /// Gives all results up.
+    pub fn close(self) {
+        drop(self);
+    }
+
+    fn give_up(&mut self, stage: usize) {
+        let Some(made) = self.stages[stage].take().filter(|it| !it.results.is_empty()) else {
+            return;
+        };
+        match made.by == self.relay.peer {
+            true => self.relay.gatherers.free(&made.pool, made.results),
+            false => self.relay.links.free(made.by, made.pool, made.results),
+        }
+    }
+}
+
+impl Drop for Results {
+    fn drop(&mut self) {
+        for stage in 0..self.stages.len() {
+            self.give_up(stage);
+        }
+    }
+}
+
+/// Runs all stages.
+///
+/// # Errors
+/// A stage has no result, so the request can't run.
+pub async fn run(relay: &Rc<Relay>, ask: &Ask) -> Result<Results, PieceError> {
+    let route = &ask.route;
+    let mut results = Results {
+        relay: relay.clone(),
+        stages: route.stages.iter().map(|_| None).collect(),
+        last: route.last_stages().collect(),
+    };
+    let plan = Plan::new(&route.stages, times(&relay.view(), ask));
+    let mut progress = vec![Progress::Waiting; route.stages.len()];
+    let mut running = JoinSet::new();
+    loop {
+        for stage in plan.due(&progress) {
+            progress[stage] = Progress::Running;
+            let job = Job::new(relay, ask, &results, stage, plan.tail(stage) + LEAST_RUN);
+            let relay = relay.clone();
+            running.spawn_local(async move { (stage, job.run(relay).await) });
+        }
+        let Some(ended) = running.join_next().await else {
+            return Ok(results);
+        };
+        let (stage, made) = ended.expect("a stage's task neither panics nor is aborted here");
+        results.stages[stage] = Some(made?);
+        progress[stage] = Progress::Done;
+        give_up_consumed(ask, &mut results);
+    }
+}
+
+/// The least time of each stage: one call of all its pieces.
+fn times(view: &View, ask: &Ask) -> Vec<Millis> {
+    let time = |stage: usize| {
+        let pool = &ask.route.stages[stage].pool;
+        let terms = view.catalog().services.get(pool).and_then(|it| it.batch);
+        let count = ask.counts[stage];
+        terms.filter(|_| count > 0).map_or(Millis(0), |it| it.duration(count))
+    };
+    (0..ask.route.stages.len()).map(time).collect()
+}
+
+/// Gives up the results that only stages which are done needed.
+fn give_up_consumed(ask: &Ask, results: &mut Results) {
+    let stages = &ask.route.stages;
+    for stage in 0..stages.len() {
+        let mut followers = (0..stages.len()).filter(|it| stages[*it].after.contains(&stage));
+        let needed =
+            results.last.contains(&stage) || followers.any(|it| results.stages[it].is_none());
+        let made = results.stages[stage].as_mut().filter(|_| !needed);
+        if let Some(made) = made {
+            let rest = Made { pool: made.pool.clone(), by: made.by, results: Vec::new() };
+            results.give_up(stage);
+            results.stages[stage] = Some(rest);
+        }
+    }
+}
+
+/// One stage of one request.
+struct Job {
+    ask: GatherAsk,
+    target: Instant,
+    due: Instant,
+    holders: Vec<SocketAddr>,
+}
+
+impl Job {
+    fn new(relay: &Relay, ask: &Ask, results: &Results, stage: usize, tail: Millis) -> Self {
+        let view = relay.view();
+        let row = &ask.route.stages[stage];
+        let made = row.after.iter().filter_map(|it| results.stages[*it].as_ref());
+        let input = match row.after.is_empty() {
+            true => PieceInput::Source(ask.source.clone()),
+            false => PieceInput::Results(made.flat_map(|it| it.results.clone()).collect()),
+        };
+        let tail = Duration::from_millis(tail.0);
+        let gather = GatherAsk {
+            id: rand::random(),
+            pool: row.pool.clone(),
+            request: ask.id.clone(),
+            stage,
+            count: ask.counts[stage],
+            input,
+            priority: ask.priority,
+            size: row.size,
+            target: Millis(0),
+            due: Millis(0),
+        };
+        Self {
+            ask: gather,
+            target: ask.target.checked_sub(tail).unwrap_or(ask.received),
+            due: ask.until.checked_sub(tail).unwrap_or(ask.received),
+            holders: view.holders(&row.pool),
+        }
+    }
+
+    async fn run(self, relay: Rc<Relay>) -> Result<Made, PieceError> {
+        let began = Instant::now();
+        let pool = self.ask.pool.clone();
+        if self.ask.count == 0 {
+            return Ok(Made { pool, by: relay.peer, results: Vec::new() });
+        }
+        let mut answer: GatherAnswer = Err(PieceError::Unreachable);
+        let mut by = relay.peer;
+        for holder in relay.links.order(&self.holders).into_iter().take(MOST_HOLDERS) {
+            by = holder;
+            answer = self.ask_holder(&relay, holder).await;
+            if !matches!(answer, Err(PieceError::Unreachable)) {
+                break;
+            }
+        }
+        let outcome = answer.as_ref().map_or_else(ToString::to_string, |_| "done".to_owned());
+        log::info!(
+            request = self.ask.request.as_str(), stage = self.ask.stage, pool:% = pool,
+            pieces = self.ask.count, gathered_by:% = by, outcome = outcome.as_str(),
+            took_ms = began.elapsed().as_millis() as u64;
+            "[relay] stage ended"
+        );
+        answer.map(|results| Made { pool, by, results })
+    }
+
+    async fn ask_holder(&self, relay: &Rc<Relay>, holder: SocketAddr) -> GatherAnswer {
+        let now = Instant::now();
+        let left = |until: Instant| Millis(until.saturating_duration_since(now).as_millis() as u64);
+        let ask = GatherAsk { target: left(self.target), due: left(self.due), ..self.ask.clone() };
+        match holder == relay.peer {
+            true => relay.gatherers.ask(ask).await,
+            false => relay.links.ask(holder, ask).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/stream.rs
@@ -0,0 +1,77 @@
+//! The body of an answer that is relayed as it comes.
+
+use {
+    super::{counts::Ending, relay::InFlight, upstream::Lease},
+    hyper::body::{Body, Bytes, Frame, Incoming, SizeHint},
+    std::{
+        io,
+        pin::Pin,
+        task::{Context, Poll},
+        time::Instant,
+    },
+    tokio::time::{Sleep, sleep_until},
+};
+
+/// An endpoint's body on its way to the caller. If it ends early, so does the
+/// caller's connection, so that a part is never taken for the whole.
+pub struct RelayBody {
+    inner: Incoming,
+    lease: Option<Lease>,
+    until: Pin<Box<Sleep>>,
+    ending: Ending,
+    _in_flight: InFlight,
+}
+
+impl RelayBody {
+    /// Relays a body until it ends or the time is up.
+    pub fn new(
+        inner: Incoming,
+        lease: Lease,
+        until: Instant,
+        ending: Ending,
+        in_flight: InFlight,
+    ) -> Self {
+        let until = Box::pin(sleep_until(until.into()));
+        Self { inner, lease: Some(lease), until, ending, _in_flight: in_flight }
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let size = frame.data_ref().map_or(0, Bytes::len);
+                self.ending.pass(size);
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(err))) => {
+                self.lease = None;
+                self.ending.end("broken_off");
+                Poll::Ready(Some(Err(io::Error::other(err))))
+            }
+            Poll::Ready(None) => {
+                if let Some(lease) = self.lease.take() {
+                    lease.close();
+                }
+                self.ending.end("whole");
+                Poll::Ready(None)
+            }
+            Poll::Pending if self.until.as_mut().poll(cx).is_ready() => {
+                self.lease = None;
+                self.ending.end("timed_out");
+                Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay/upstream.rs
@@ -0,0 +1,219 @@
+//! Connections to endpoints.
+
+use {
+    coord::{ids::EndpointName, tables::Endpoint, time::Millis},
+    http_body_util::Full,
+    hyper::{
+        Request, Response,
+        body::{Bytes, Incoming},
+        client::conn::http1::{self, SendRequest},
+        header::{CONNECTION, HeaderMap},
+    },
+    hyper_util::rt::TokioIo,
+    snafu::Snafu,
+    socket2::{SockRef, TcpKeepalive},
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpStream, task::AbortHandle, time::timeout},
+};
+
+/// How long a connection may take to be made. Several round trips between
+/// failure domains; shorter than the resending of a lost first packet.
+const CONNECT: Duration = Duration::from_millis(400);
+/// How long sent bytes may stay unacknowledged. Longer than one resending.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2000);
+/// How often a silent connection is probed; two probes unanswered end it.
+const PROBE: Duration = Duration::from_secs(1);
+/// How long an idle connection is kept where the endpoint doesn't say.
+const IDLE_DEFAULT: Millis = Millis(1000);
+/// How much earlier than the endpoint an idle connection is given up, so that
+/// a request doesn't cross its close.
+const IDLE_MARGIN: Millis = Millis(700);
+/// The most idle connections kept to one endpoint.
+const MAX_IDLE: usize = 32;
+
+/// Why there is no answer.
+#[derive(Debug, Snafu)]
+pub enum SendError {
+    /// No byte of the request has left.
+    #[snafu(display("no connection: {source}"))]
+    Connect { source: io::Error },
+    /// No byte of the request has left.
+    #[snafu(display("the connection was closed before the request was sent"))]
+    Closed,
+    /// The endpoint may have taken the request.
+    #[snafu(display("the connection failed: {source}"))]
+    Broken { source: hyper::Error },
+}
+
+impl SendError {
+    /// Whether the endpoint can't have seen the request.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connect { .. } | Self::Closed)
+    }
+}
+
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+    until: Instant,
+}
+
+/// Ends the connection unless it is given back.
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection in use for one request. Dropping it closes the connection,
+/// which makes the endpoint end its work.
+pub struct Lease {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+    endpoint: EndpointName,
+    keeps: Option<Millis>,
+    upstream: Rc<Upstream>,
+}
+
+/// The connections of this instance to all endpoints.
+#[derive(Default)]
+pub struct Upstream {
+    idle: RefCell<HashMap<EndpointName, Vec<Idle>>>,
+}
+
+impl Upstream {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// [`SendError::is_unsent`] tells whether the endpoint can't have seen it.
+    pub async fn send(
+        self: &Rc<Self>,
+        endpoint: &Endpoint,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        let mut request = request;
+        while let Some(idle) = self.take_idle(&endpoint.name) {
+            match self.attempt(endpoint, idle.sender, idle.driver, request).await {
+                Err((SendError::Closed, Some(unsent))) => request = unsent,
+                result => return result.map_err(|(err, _)| err),
+            }
+        }
+        let (sender, driver) = connect(endpoint.addr).await?;
+        let result = self.attempt(endpoint, sender, driver, request).await;
+        result.map_err(|(err, _)| err)
+    }
+
+    /// Drops the idle connections of endpoints that are gone.
+    pub fn retain(&self, keep: impl Fn(&EndpointName) -> bool) {
+        self.idle.borrow_mut().retain(|name, _| keep(name));
+    }
+
+    /// Closes idle connections whose time has come.
+    pub fn expire(&self, now: Instant) {
+        for rows in self.idle.borrow_mut().values_mut() {
+            rows.retain(|it| it.until > now && !it.sender.is_closed());
+        }
+    }
+
+    #[allow(clippy::type_complexity)]
+    async fn attempt(
+        self: &Rc<Self>,
+        endpoint: &Endpoint,
+        mut sender: SendRequest<Full<Bytes>>,
+        driver: Driver,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), (SendError, Option<Request<Full<Bytes>>>)> {
+        if sender.ready().await.is_err() {
+            return Err((SendError::Closed, Some(request)));
+        }
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                let keeps = keeps(response.headers());
+                let upstream = self.clone();
+                let endpoint = endpoint.name.clone();
+                Ok((response, Lease { sender, driver, endpoint, keeps, upstream }))
+            }
+            Err(mut err) => match err.take_message() {
+                Some(request) => Err((SendError::Closed, Some(request))),
+                None => Err((SendError::Broken { source: err.into_error() }, None)),
+            },
+        }
+    }
+
+    fn take_idle(&self, name: &EndpointName) -> Option<Idle> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let rows = idle.get_mut(name)?;
+        while let Some(it) = rows.pop() {
+            if it.until > now && !it.sender.is_closed() {
+                return Some(it);
+            }
+        }
+        None
+    }
+}
+
+impl Lease {
+    /// Gives the connection back after a whole answer.
+    pub fn close(self) {
+        let Self { sender, driver, endpoint, keeps, upstream } = self;
+        let Some(keeps) = keeps.filter(|_| !sender.is_closed()) else {
+            return;
+        };
+        let until = Instant::now() + Duration::from_millis(keeps.0);
+        let mut idle = upstream.idle.borrow_mut();
+        let rows = idle.entry(endpoint).or_default();
+        if rows.len() < MAX_IDLE {
+            rows.push(Idle { sender, driver, until });
+        }
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<(SendRequest<Full<Bytes>>, Driver), SendError> {
+    let failed = |source| SendError::Connect { source };
+    let stream = match timeout(CONNECT, TcpStream::connect(addr)).await {
+        Ok(it) => it.map_err(failed)?,
+        Err(_) => return Err(failed(io::ErrorKind::TimedOut.into())),
+    };
+    guard(&stream).map_err(failed)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|err| failed(io::Error::other(err)))?;
+    let task = tokio::task::spawn_local(async move {
+        // The one who waits for an answer meets the error as well.
+        let _ = connection.await;
+    });
+    Ok((sender, Driver(task.abort_handle())))
+}
+
+/// Makes the kernel notice a path that has gone silent.
+pub fn guard(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
+
+/// How long the connection may stay idle behind this answer, if at all.
+fn keeps(headers: &HeaderMap) -> Option<Millis> {
+    let connection = headers.get(CONNECTION).and_then(|it| it.to_str().ok()).unwrap_or_default();
+    if connection.split(',').any(|it| it.trim().eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let stated = headers.get("keep-alive").and_then(|it| it.to_str().ok()).and_then(|text| {
+        text.split(',').find_map(|it| it.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
+    });
+    match stated {
+        Some(seconds) => (seconds * 1000).checked_sub(IDLE_MARGIN.0).map(Millis),
+        None => Some(IDLE_DEFAULT),
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,6 +9,8 @@
         event::{Event, Inbox, MAX_EVENTS},
         operators,
         peers::{self, Outgoing, PeerClient},
+        relay::RelaySettings,
+        relay::{self, GatherEvent, Relay, RelayContext, Relayed},
         settings::{self, Parsed, Settings},
         telemetry::{Meters, start_logs},
     },
@@ -23,6 +25,7 @@
         cell::Cell,
         io,
         net::{SocketAddr, TcpListener},
+        pin::Pin,
         process::ExitCode,
         sync::{
             Arc,
@@ -32,7 +35,13 @@
         thread,
         time::{Duration, Instant},
     },
-    tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel},
+    tokio::{
+        sync::{
+            mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+            watch,
+        },
+        task::LocalSet,
+    },
 };
 
 /// The most events handled between two looks at the timers.
@@ -60,6 +69,8 @@
     operator: SocketAddr,
     endpoint: SocketAddr,
     peer: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    relay: Option<SocketAddr>,
 }
 
 struct Listeners {
@@ -67,8 +78,17 @@
     operator: TcpListener,
     endpoint: TcpListener,
     peer: TcpListener,
+    relay: Option<RelayListeners>,
 }
 
+struct RelayListeners {
+    caller: TcpListener,
+    readiness: Option<TcpListener>,
+}
+
+/// Another front door, run on the network thread beside the daemon's own.
+pub type Extra = Box<dyn FnOnce(Inbox) -> Pin<Box<dyn Future<Output = ()>>> + Send>;
+
 thread_local! {
     static EXIT: Cell<Option<ExitCode>> = const { Cell::new(None) };
 }
@@ -91,9 +111,18 @@
             println!("the settings are valid");
             return ExitCode::SUCCESS;
         }
-        Ok(Parsed::Run(settings)) => start(*settings),
+        Ok(Parsed::Run(settings)) => return launch(*settings, Vec::new()),
         Err(err) => Err(err),
     };
+    conclude(result)
+}
+
+/// Runs the daemon with checked settings and other front doors.
+pub fn launch(settings: Settings, extras: Vec<Extra>) -> ExitCode {
+    conclude(start(settings, extras))
+}
+
+fn conclude(result: Result<ExitCode, StartError>) -> ExitCode {
     match result {
         Ok(code) => code,
         Err(err) => {
@@ -103,27 +132,47 @@
     }
 }
 
-fn start(settings: Settings) -> Result<ExitCode, StartError> {
-    start_logs(settings.log_level, settings.log_format);
+fn start(settings: Settings, extras: Vec<Extra>) -> Result<ExitCode, StartError> {
+    start_logs(settings.log_level, settings.log_format, &settings.log_parts);
     warn_of_narrowed(&settings);
-    let disk = open_disk(&settings).context(DiskSnafu)?;
     let listeners = listen(&settings)?;
     let addresses = listeners.addresses();
+    let own_peer = settings.advertise.unwrap_or(addresses.peer);
+    let disk = open_disk(&settings, own_peer).context(DiskSnafu)?;
     let (sender, events) = sync_channel(MAX_EVENTS);
     let inbox = Inbox::new(sender);
     watch_signals(inbox.clone())?;
     let meters = Meters::install(settings.team_series);
     let ready = Arc::new(AtomicBool::new(false));
     let (peers, outgoing) = unbounded_channel();
-    let Listeners { caller, operator, endpoint, peer } = listeners;
+    let Listeners { caller, operator, endpoint, peer, relay } = listeners;
+    let relayed = Arc::new(Relayed::default());
+    let (tables, followed) = watch::channel(Arc::default());
     let context = CallerContext {
         inbox: inbox.clone(),
         max_body: settings.max_body,
         max_connections: settings.max_connections,
         ready: ready.clone(),
     };
-    let secret = settings.peer.secret.clone();
-    start_network(caller, context, peer, secret, outgoing, inbox.clone());
+    let (gatherers, asked) = unbounded_channel();
+    let peer_secret = settings.peer.secret.clone();
+    let relay = settings.relay.clone().zip(relay).map(|(settings, listeners)| {
+        let (tables, relayed) = (followed, relayed.clone());
+        let secret = peer_secret.clone();
+        let context = RelayContext { settings, tables, asked, relayed, peer: own_peer, secret };
+        (context, listeners)
+    });
+    let network = Network {
+        caller,
+        context,
+        peer,
+        secret: peer_secret.clone(),
+        outgoing,
+        gatherers,
+        relay,
+        extras,
+    };
+    network.start(inbox.clone());
     let secret = settings.operator.secret.clone();
     operators::serve(operator, secret, inbox.clone(), meters.handle());
     endpoints::listen(endpoint, settings.endpoint.secret.clone(), inbox.clone());
@@ -134,7 +183,9 @@
         None => (Identity::fresh(), None),
     };
     let context = Context {
-        peer: settings.advertise.unwrap_or(addresses.peer),
+        peer: own_peer,
+        tables,
+        relayed,
         endpoints: EndpointCalls::new(settings.endpoint_threads, inbox),
         settings,
         identity,
@@ -173,12 +224,17 @@
 
 fn open_disk(
     settings: &Settings,
+    own_peer: SocketAddr,
 ) -> Result<Option<(Identity, Store, coord::raft::Restored)>, DiskError> {
     let Some(path) = &settings.data else {
         return Ok(None);
     };
     let folder = Folder::open(path)?;
-    let identity = Identity::start(&folder)?;
+    let new = match settings.found_with.is_empty() {
+        true => Identity::fresh(),
+        false => Identity::first_voter(&settings.found_with, own_peer),
+    };
+    let identity = Identity::start(&folder, new)?;
     let (store, restored) = Store::open(folder)?;
     Ok(Some((identity, store, restored)))
 }
@@ -189,6 +245,15 @@
         operator: bind("operator-listen", settings.operator.listen, false)?,
         endpoint: bind("endpoint-listen", settings.endpoint.listen, false)?,
         peer: bind("peer-listen", settings.peer.listen, true)?,
+        relay: settings.relay.as_ref().map(listen_relay).transpose()?,
+    })
+}
+
+fn listen_relay(settings: &RelaySettings) -> Result<RelayListeners, StartError> {
+    let readiness = settings.readiness.map(|it| bind("relay-listen", it, true));
+    Ok(RelayListeners {
+        caller: bind("relay-listen", settings.listen, true)?,
+        readiness: readiness.transpose()?,
     })
 }
 
@@ -206,31 +271,50 @@
             operator: addr(&self.operator),
             endpoint: addr(&self.endpoint),
             peer: addr(&self.peer),
+            relay: self.relay.as_ref().map(|it| addr(&it.caller)),
         }
     }
 }
 
-/// Starts the thread of the caller and peer connections.
-fn start_network(
+/// All that runs on the network thread.
+struct Network {
     caller: TcpListener,
     context: CallerContext,
     peer: TcpListener,
     secret: Arc<str>,
     outgoing: UnboundedReceiver<Outgoing>,
-    inbox: Inbox,
-) {
-    let run = move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        runtime.expect("the runtime starts").block_on(async move {
-            let client = PeerClient::new(secret.clone(), inbox.clone());
-            tokio::spawn(client.run(outgoing));
-            let served = peers::serve(peer, secret, inbox).await;
-            let _handle = served.expect("the peers' listener can be served");
-            callers::serve(caller, context).await;
-        });
-    };
-    let builder = thread::Builder::new().name("network".to_owned());
-    builder.spawn(run).expect("the network thread starts");
+    gatherers: UnboundedSender<GatherEvent>,
+    relay: Option<(RelayContext, RelayListeners)>,
+    extras: Vec<Extra>,
+}
+
+impl Network {
+    /// Starts the thread.
+    fn start(self, inbox: Inbox) {
+        let run = move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.expect("the runtime starts");
+            LocalSet::new().block_on(&runtime, self.run(inbox));
+        };
+        let builder = thread::Builder::new().name("network".to_owned());
+        builder.spawn(run).expect("the network thread starts");
+    }
+
+    async fn run(self, inbox: Inbox) {
+        let client = PeerClient::new(self.secret.clone(), inbox.clone());
+        tokio::spawn(client.run(self.outgoing));
+        let served = peers::serve(self.peer, self.secret, inbox.clone(), self.gatherers).await;
+        let _handle = served.expect("the peers' listener can be served");
+        for extra in self.extras {
+            tokio::task::spawn_local(extra(inbox.clone()));
+        }
+        if let Some((context, listeners)) = self.relay {
+            let relay = Relay::start(context);
+            let serving = relay::serve(relay, listeners.caller, listeners.readiness);
+            tokio::task::spawn_local(serving);
+        }
+        callers::serve(self.caller, self.context).await;
+    }
 }
 
 fn watch_signals(inbox: Inbox) -> Result<(), StartError> {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -8,5 +8,5 @@
 
 pub use {
     error::SettingsError,
-    settings::{LogFormat, Parsed, Settings, parse},
+    settings::{Guarded, LogFormat, Parsed, Settings, parse},
 };
--- a/crates/daemon/src/settings/settings.rs
+++ b/crates/daemon/src/settings/settings.rs
@@ -6,6 +6,7 @@
         raw::{Raw, spec_of, wrong},
         spec::{ENV_PREFIX, help},
     },
+    crate::relay::RelaySettings,
     coord::{
         ids::{DomainName, InstanceName},
         router::Policy,
@@ -50,6 +51,11 @@
     pub peer: Guarded,
     pub advertise: Option<SocketAddr>,
     pub join: Vec<SocketAddr>,
+    /// All first voters, where this instance is one of them and its data
+    /// folder may be empty.
+    pub found_with: Vec<SocketAddr>,
+    pub mend_voters: bool,
+    pub relay: Option<RelaySettings>,
     pub data: Option<PathBuf>,
     pub policy: Policy,
     pub max_requests: usize,
@@ -62,6 +68,8 @@
     pub stop_notice: Millis,
     pub log_level: LevelFilter,
     pub log_format: LogFormat,
+    /// The crates whose lines are logged at `log_level`.
+    pub log_parts: Vec<&'static str>,
 }
 
 /// What the command line asks for.
@@ -100,6 +108,9 @@
         peer: guarded(raw, env, "peer")?,
         advertise: raw.get("peer-advertise")?,
         join: raw.get::<AddrList>("join")?.map_or_else(Vec::new, |it| it.0),
+        found_with: found_with(raw)?,
+        mend_voters: raw.need::<Switch>("mend-voters")?.0,
+        relay: raw.get("relay-listen")?.map(RelaySettings::new),
         data: raw.get("data")?,
         policy: raw.need("policy")?,
         max_requests: raw.number("max-requests", 1, 100_000)? as usize,
@@ -112,6 +123,7 @@
         stop_notice: Millis(raw.number("stop-notice", 0, 60_000)?),
         log_level: raw.need("log-level")?,
         log_format: raw.need("log-format")?,
+        log_parts: vec!["daemon"],
     })
 }
 
@@ -136,6 +148,34 @@
     Ok(Guarded { listen, secret: secret.into(), narrowed })
 }
 
+fn found_with(raw: &Raw) -> Result<Vec<SocketAddr>, SettingsError> {
+    let voters = raw.get::<AddrList>("found-with")?.map_or_else(Vec::new, |it| it.0);
+    let own: SocketAddr = match raw.get("peer-advertise")? {
+        Some(it) => it,
+        None => raw.need("peer-listen")?,
+    };
+    if !voters.is_empty() && !voters.contains(&own) {
+        let text = voters.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+        let detail = format!("it doesn't hold this instance's own peer address {own}");
+        return Err(wrong(spec_of("found-with"), &text, detail));
+    }
+    Ok(voters)
+}
+
+struct Switch(bool);
+
+impl FromStr for Switch {
+    type Err = &'static str;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        match s {
+            "on" => Ok(Self(true)),
+            "off" => Ok(Self(false)),
+            _ => Err("it is neither"),
+        }
+    }
+}
+
 struct AddrList(Vec<SocketAddr>);
 
 impl FromStr for AddrList {
--- a/crates/daemon/src/telemetry/logs.rs
+++ b/crates/daemon/src/telemetry/logs.rs
@@ -1,31 +1,42 @@
-//! Logs: one line an event on standard error, each with its part's prefix.
+//! Logs: one line an event, each with its part's prefix. Plain lines go to
+//! standard error, JSON to standard output.
 
 use {
+    super::lines::LineAppender,
     crate::settings::LogFormat,
     log::LevelFilter,
     log4rs::{
         Config,
-        append::console::{ConsoleAppender, Target},
+        append::{
+            Append,
+            console::{ConsoleAppender, Target},
+        },
         config::{Appender, Logger, Root},
-        encode::{Encode, json::JsonEncoder, pattern::PatternEncoder},
+        encode::pattern::PatternEncoder,
     },
 };
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)(utc)}Z {l} {m}{n}";
 
-/// Starts logging. Libraries log warnings and errors only.
-pub fn start_logs(level: LevelFilter, format: LogFormat) {
-    let encoder: Box<dyn Encode> = match format {
-        LogFormat::Plain => Box::new(PatternEncoder::new(PATTERN)),
-        LogFormat::Json => Box::new(JsonEncoder::new()),
+/// Starts logging of the crates in `parts`. All others log errors only.
+pub fn start_logs(level: LevelFilter, format: LogFormat, parts: &[&str]) {
+    let appender: Box<dyn Append> = match format {
+        LogFormat::Plain => {
+            let encoder = Box::new(PatternEncoder::new(PATTERN));
+            Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
+        }
+        LogFormat::Json => Box::new(LineAppender::start()),
     };
-    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
-    let appender = Appender::builder().build("console", Box::new(console));
-    let own = Logger::builder().build("mangobendd", level);
+    let appender = Appender::builder().build("lines", appender);
+    let mut config = Config::builder().appender(appender);
+    for part in parts {
+        config = config.logger(Logger::builder().build(*part, level));
+    }
     // It logs each end of its accept loop as an error; the listener goes on.
-    let http = Logger::builder().build("tiny_http", LevelFilter::Off);
-    let root = Root::builder().appender("console").build(level.min(LevelFilter::Error));
-    let config = Config::builder().appender(appender).logger(own).logger(http).build(root);
-    let config = config.expect("the configuration of the logs is complete");
-    let _ = log4rs::init_config(config);
+    config = config.logger(Logger::builder().build("tiny_http", LevelFilter::Off));
+    let root = Root::builder().appender("lines").build(level.min(LevelFilter::Error));
+    let config = config.build(root).expect("the configuration of the logs is complete");
+    if let Err(err) = log4rs::init_config(config) {
+        eprintln!("mangobendd: logging can't be started: {err}");
+    }
 }
--- a/crates/daemon/src/telemetry/meters.rs
+++ b/crates/daemon/src/telemetry/meters.rs
@@ -1,12 +1,12 @@
 //! Metrics, as Prometheus text.
 
 use {
+    super::SeriesBound,
     coord::{
         ids::{Class, RouteName, TeamName},
         router::{Finish, Stats},
         time::Millis,
     },
-    indexmap::IndexSet,
     metrics::{counter, gauge, histogram},
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
 };
@@ -14,15 +14,12 @@
 /// Upper bounds of the buckets of times, in seconds.
 const BUCKETS: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0, 30.0];
-/// The label of teams that have no series of their own.
-const OTHER: &str = "_other";
 
 /// The metrics of one instance. Teams beyond the bound share one label, so
 /// that the number of series stays bounded.
 pub struct Meters {
     handle: PrometheusHandle,
-    teams: IndexSet<TeamName>,
-    most: usize,
+    teams: SeriesBound,
 }
 
 /// What a finished request is counted under.
@@ -38,7 +35,7 @@
         let builder = PrometheusBuilder::new().set_buckets(&BUCKETS);
         let handle = builder.expect("there are buckets").install_recorder();
         let handle = handle.expect("the recorder is installed once");
-        Self { handle, teams: IndexSet::new(), most }
+        Self { handle, teams: SeriesBound::new(most) }
     }
 
     /// The way to the metrics' text for other threads.
@@ -48,7 +45,7 @@
 
     /// Counts a finished request.
     pub fn finished(&mut self, labels: &Labels<'_>, took: Millis, finish: &Finish) {
-        let team = self.team(labels.team);
+        let team = self.teams.label(labels.team.as_str());
         let class = labels.class.to_string();
         let result = match &finish.result {
             Ok(_) => "whole".to_owned(),
@@ -108,14 +105,4 @@
         gauge!("mangobend_leader").set(f64::from(u8::from(leads)));
         gauge!("mangobend_claims").set(claims as f64);
     }
-
-    fn team(&mut self, team: &TeamName) -> String {
-        if !self.teams.contains(team) {
-            if self.teams.len() >= self.most {
-                return OTHER.to_owned();
-            }
-            self.teams.insert(team.clone());
-        }
-        team.to_string()
-    }
 }
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -1,9 +1,12 @@
 //! Logs and metrics.
 
+mod lines;
 mod logs;
 mod meters;
+mod series;
 
 pub use {
     logs::start_logs,
     meters::{Labels, Meters},
+    series::SeriesBound,
 };
--- /dev/null
+++ b/crates/daemon/src/telemetry/series.rs
@@ -0,0 +1,31 @@
+//! Bounds the number of series of one label.
+
+use indexmap::IndexSet;
+
+/// The label of values that have no series of their own.
+const OTHER: &str = "_other";
+
+/// Gives the first values of a label series of their own; all others share
+/// one.
+pub struct SeriesBound {
+    seen: IndexSet<String>,
+    most: usize,
+}
+
+impl SeriesBound {
+    /// At most `most` values have series of their own.
+    pub fn new(most: usize) -> Self {
+        Self { seen: IndexSet::new(), most }
+    }
+
+    /// The label under which a value is counted.
+    pub fn label(&mut self, value: &str) -> String {
+        if !self.seen.contains(value) {
+            if self.seen.len() >= self.most {
+                return OTHER.to_owned();
+            }
+            self.seen.insert(value.to_owned());
+        }
+        value.to_owned()
+    }
+}
