Let a newcomer take a lost voter's place before the next loss

Cause: after a final fault that wiped two disks, nobody was elected. The log of agreement views shows the address twice among the voters. Ruled out: votes lost on the wire, since all three voters with a disk stood for election and answered each other.

Change: the voter with the newcomer's own address leaves first, else the one that is silent for longest; a newcomer waits while a voter is in doubt; with more than five voters a silent one leaves soon. `Progress::heard` was reset by each resending, so no voter ever counted as silent for long: resending has its own time now. Each change of a voter's view of the agreement is logged.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -4,20 +4,29 @@
     super::{ShareHolder, Voter, shares::Divisible},
     crate::{
         ids::NodeId,
+        raft::HEARTBEAT,
         tables::Command,
         time::{Millis, Time},
     },
+    std::net::SocketAddr,
 };
 
 /// An instance without a lease for so long leaves the roster.
 const FORGET_MEMBER: Millis = Millis(30_000);
 /// How often rows that nobody needs are looked for.
 const CLEAN_EVERY: Millis = Millis(1000);
-/// A voter that was silent for so long leaves the voters. Longer than a
-/// restart or a short cut, shorter than the time to the next loss.
+/// While a voter has been silent for so long, a newcomer waits whether it is to
+/// take its place: a few heartbeats.
+const DOUBT_VOTER: Millis = Millis(4 * HEARTBEAT.0);
+/// A voter that was silent for so long leaves if another can take its place:
+/// longer than a change of leader, shorter than the time to the next loss.
+const REPLACE_VOTER: Millis = Millis(1500);
+/// A voter that was silent for so long leaves without one, unless more than
+/// [`LEAST_VOTERS`] are left.
 const GIVE_UP_VOTER: Millis = Millis(10_000);
-/// No silent voter leaves so few, unless another takes its place.
-const LEAST_VOTERS: usize = 3;
+/// So many voters are kept, silent or not: with a majority of them on disk two
+/// disks can be lost.
+const LEAST_VOTERS: usize = 5;
 /// How often a learner that caught up is looked for.
 const PROMOTE_EVERY: Millis = Millis(200);
 
@@ -84,37 +93,20 @@
         }
     }
 
-    /// Changes the voters by one step: a voter or learner whose address belongs
-    /// to a newer member is gone, an instance with a disk becomes a learner,
-    /// and a voter that was silent for long leaves.
+    /// Changes the voters by one step. An instance with a disk that doesn't vote
+    /// becomes a learner, but first a voter whose place it can take leaves: the
+    /// one with its address, whose disk is gone, or else the one that has been
+    /// silent for longest. Without such an instance a silent voter leaves only
+    /// where enough are left, since what is agreed on must be on their disks.
     fn mend(&mut self, now: Time) {
         let config = self.raft.config().clone();
-        let own = self.raft.id();
-        let roster = &self.state.tables.roster;
-        let live = |id: &NodeId| self.leases.get(*id).is_some_and(|it| now < it.until);
-        let disks = roster.values().filter(|it| it.disk && live(&it.id));
-        let fresh: Vec<_> =
-            disks.filter(|it| config.addr(it.id).is_none()).map(|it| (it.id, it.peer)).collect();
-        let rows = config.voters.iter().chain(&config.learners);
-        let replaced = rows.filter(|(id, addr)| {
-            **id != own && !live(id) && fresh.iter().any(|(_, peer)| peer == *addr)
-        });
-        let silent = |id: &NodeId| {
-            let row = self.raft.followers().get(id);
-            row.is_some_and(|it| now.since(it.heard) >= GIVE_UP_VOTER)
-        };
-        let gone = |id: &NodeId| *id != own && !live(id) && silent(id);
-        let spare = config.voters.len() > LEAST_VOTERS || !fresh.is_empty();
-        let voters = config.voters.keys().filter(|id| spare && gone(id));
-        let learners = config.learners.keys().filter(|id| gone(id));
-        let leaver =
-            replaced.map(|(id, _)| *id).next().or_else(|| learners.chain(voters).next().copied());
+        let fresh = self.fresh_member(now);
         let mut next = config.clone();
-        if let Some(id) = leaver {
+        if let Some(id) = self.leaver(now, fresh.map(|(_, peer)| peer)) {
             next.voters.shift_remove(&id);
             next.learners.shift_remove(&id);
-        } else if let Some((id, peer)) = fresh.first().filter(|_| config.learners.is_empty()) {
-            next.learners.insert(*id, *peer);
+        } else if let Some((id, peer)) = fresh.filter(|_| self.all_are_heard(now)) {
+            next.learners.insert(id, peer);
         } else {
             return;
         }
@@ -122,6 +114,45 @@
         let _ = self.raft.propose_config(next);
     }
 
+    /// An instance with a disk and a lease that neither votes nor learns.
+    fn fresh_member(&self, now: Time) -> Option<(NodeId, SocketAddr)> {
+        let config = self.raft.config();
+        let mut members = self.state.tables.roster.values().filter(|it| it.disk);
+        let fresh = members.find(|it| {
+            let live = self.leases.get(it.id).is_some_and(|row| now < row.until);
+            live && config.addr(it.id).is_none()
+        });
+        fresh.map(|it| (it.id, it.peer))
+    }
+
+    /// Whether no voter has fallen silent and nobody is being caught up, so that
+    /// a newcomer takes nobody's place.
+    fn all_are_heard(&self, now: Time) -> bool {
+        let mut rows = self.raft.followers().values();
+        self.raft.config().learners.is_empty() && rows.all(|it| now.since(it.heard) < DOUBT_VOTER)
+    }
+
+    /// The voter or learner that should leave now.
+    fn leaver(&self, now: Time, fresh: Option<SocketAddr>) -> Option<NodeId> {
+        let config = self.raft.config();
+        let own = self.raft.id();
+        let rows = || config.voters.iter().chain(&config.learners).filter(|(id, _)| **id != own);
+        let replaced = rows().find(|(_, addr)| Some(**addr) == fresh);
+        let silence =
+            |id: &NodeId| self.raft.followers().get(id).map_or(Millis(0), |it| now.since(it.heard));
+        let (patience, least) = match fresh {
+            Some(_) => (REPLACE_VOTER, 1),
+            None if config.voters.len() > LEAST_VOTERS => (REPLACE_VOTER, LEAST_VOTERS),
+            None => (GIVE_UP_VOTER, LEAST_VOTERS),
+        };
+        let is_gone = |id: &NodeId| {
+            let votes = config.voters.contains_key(id);
+            silence(id) >= patience && (!votes || config.voters.len() > least)
+        };
+        let gone = rows().filter(|(id, _)| is_gone(id)).max_by_key(|(id, _)| silence(id));
+        replaced.or(gone).map(|(id, _)| *id)
+    }
+
     /// Makes a learner that has caught up a voter.
     pub(super) fn promote(&mut self, now: Time) {
         if now.since(self.promoted) < PROMOTE_EVERY {
--- a/crates/coord/src/raft/progress.rs
+++ b/crates/coord/src/raft/progress.rs
@@ -21,13 +21,22 @@
     pub acked: Time,
     /// When the latest reply came.
     pub heard: Time,
+    /// When it was last gone back to what is known to match.
+    rewound: Time,
     snapshot: Option<Time>,
 }
 
 impl Progress {
     /// A follower of which nothing is known yet.
     pub fn new(last: Index, now: Time) -> Self {
-        Self { next: last.next(), matched: Index(0), acked: Time(0), heard: now, snapshot: None }
+        Self {
+            next: last.next(),
+            matched: Index(0),
+            acked: Time(0),
+            heard: now,
+            rewound: now,
+            snapshot: None,
+        }
     }
 
     /// Takes in a good reply.
@@ -49,9 +58,10 @@
 
     /// Goes back to what is known to match when replies stay out.
     pub fn rewind(&mut self, now: Time) {
-        if self.next > self.matched.next() && now.since(self.heard) >= RESEND {
+        let quiet = now.since(self.heard.max(self.rewound)) >= RESEND;
+        if self.next > self.matched.next() && quiet {
             self.next = self.matched.next();
-            self.heard = now;
+            self.rewound = now;
         }
     }
 
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -15,7 +15,8 @@
     },
     coord::{
         control::{Done, Envelope, Guard, Holder, Token, Trouble, Voter, first_voters},
-        ids::{Class, Index, RequestId, RouteName, TeamName},
+        ids::{Class, Index, NodeId, RequestId, RouteName, TeamName, Term},
+        raft::{Config, Role},
         router::{Limits, Router},
         tables::Tables,
         time::{Millis, Time, Wall},
@@ -56,6 +57,15 @@
     Peer(Responder),
 }
 
+/// What a voter believes of the agreement.
+#[derive(PartialEq)]
+struct VoterView {
+    role: Role,
+    term: Term,
+    leader: Option<NodeId>,
+    config: Config,
+}
+
 /// The core loop's state.
 pub struct Core {
     pub(super) settings: Settings,
@@ -82,6 +92,7 @@
     pub(super) exit: Option<ExitCode>,
     tokens: u64,
     syncing: bool,
+    seen: Option<VoterView>,
     shown: Time,
     start: Instant,
 }
@@ -133,6 +144,7 @@
             exit: None,
             tokens: 0,
             syncing: false,
+            seen: None,
             shown: now,
             start: context.start,
         };
@@ -251,6 +263,31 @@
         self.flush_voter(now);
         self.flush_router(now);
         self.flush_voter(now);
+        self.note_voter();
+    }
+
+    /// Logs what this voter believes of the agreement, when it has changed.
+    fn note_voter(&mut self) {
+        let Some(raft) = self.voter.as_ref().map(Voter::raft) else {
+            return;
+        };
+        let view = VoterView {
+            role: raft.role(),
+            term: raft.term(),
+            leader: raft.leader(),
+            config: raft.config().clone(),
+        };
+        if self.seen.as_ref() == Some(&view) {
+            return;
+        }
+        log::info!(
+            node:% = self.identity.node, role:? = view.role, term:% = view.term,
+            leader:? = view.leader, voters:? = view.config.voters.values().collect::<Vec<_>>(),
+            learners:? = view.config.learners.values().collect::<Vec<_>>(),
+            commit:% = raft.commit(), last:% = raft.last();
+            "[agreement] A voter's view has changed."
+        );
+        self.seen = Some(view);
     }
 
     fn flush_voter(&mut self, now: Time) {
