Keep the stages of a request and the request itself in one domain

Change: a request prefers one domain by weighted rendezvous of its prompt part over what each domain holds of the pools it needs; its pieces carry that domain, endpoints take their own first and others only after about a call's time, and the model endpoint is chosen there. Groups of pieces go into one call whole. What the queue can't do in time is given up at once instead of at its end.

Ruled out: choosing the model endpoint by the domain of the results alone, since it would spread each shared prompt part over all domains.

--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -7,13 +7,17 @@
 //! what waits, so calls grow by themselves as the pool fills up.
 //!
 //! Results take up room until their request has read them. A group of pieces
-//! is begun only where all of it finds room, since the results of a group that
-//! can't be completed keep others from theirs.
+//! is begun only where all of it finds room, and goes into one call if it can,
+//! since the results of a group that isn't complete keep others from theirs.
+//!
+//! Endpoints take the pieces of their own failure domain first, and others
+//! only once they have waited for about a call. What can't be done in time by
+//! the present queue is given up at once.
 
 use {
     crate::{
         catalog::BatchTerms,
-        ids::{Bytes, EndpointName},
+        ids::{Bytes, DomainName, EndpointName},
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
@@ -48,6 +52,10 @@
     pub due: Time,
     /// The approximate size of the result.
     pub size: Bytes,
+    /// The failure domain in which the result is best made.
+    pub home: Option<DomainName>,
+    /// Since when it waits.
+    pub since: Time,
 }
 
 /// A call to make now.
@@ -67,8 +75,9 @@
     Failed,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Row {
+    domain: DomainName,
     calls: u32,
     /// Room that results take or will take, in bytes.
     used: u64,
@@ -93,11 +102,11 @@
     }
 
     /// Takes in other terms and the endpoints that may be called from now on.
-    pub fn reload(&mut self, terms: BatchTerms, endpoints: &IndexSet<EndpointName>) {
+    pub fn reload(&mut self, terms: BatchTerms, endpoints: &IndexMap<EndpointName, DomainName>) {
         self.terms = terms;
-        self.rows.retain(|name, _| endpoints.contains(name));
-        for name in endpoints {
-            self.rows.entry(name.clone()).or_default();
+        self.rows.retain(|name, _| endpoints.contains_key(name));
+        for (name, domain) in endpoints {
+            self.rows.entry(name.clone()).or_insert_with(|| Row::new(domain.clone()));
         }
     }
 
@@ -122,13 +131,30 @@
         self.begun.swap_remove(&group);
     }
 
-    /// Takes out the pieces that can't be done in time even if called now.
-    pub fn expire(&mut self, now: Time) -> Vec<PieceId> {
+    /// Takes out the groups that can't be done in time behind those before
+    /// them, with the time in which what waits will be done.
+    pub fn expire(&mut self, now: Time) -> Vec<(GroupId, Millis)> {
+        let full = self.terms.pieces.max(1);
+        let each = self.duration(full as usize).0 as f64
+            / (f64::from(full)
+                * f64::from(self.terms.slots.0.max(1))
+                * self.rows.len().max(1) as f64);
         let least = self.duration(1);
-        let late = |it: &Piece| now + least > it.due;
-        let ids = self.queue.iter().filter(|it| late(it)).map(|it| it.id).collect();
-        self.queue.retain(|it| !late(it));
-        ids
+        self.sort(now);
+        let mut expired: IndexMap<GroupId, Millis> = IndexMap::new();
+        let mut ahead = 0.0;
+        for it in &self.queue {
+            if expired.contains_key(&it.group) {
+                continue;
+            }
+            let wait = Millis((ahead * each) as u64);
+            if now + wait + least > it.due {
+                expired.insert(it.group, wait);
+            }
+            ahead += 1.0;
+        }
+        self.queue.retain(|it| !expired.contains_key(&it.group));
+        expired.into_iter().collect()
     }
 
     /// The next call, if an endpoint is free and something fits. First come
@@ -138,17 +164,11 @@
         if self.queue.is_empty() {
             return None;
         }
-        let endpoint = self.free(now)?;
-        let least = self.duration(1);
-        let (begun, queue) = (&self.begun, &mut self.queue);
-        queue.sort_by_cached_key(|it| {
-            let late = now + least > it.target;
-            (late, !begun.contains(&it.group), it.priority, it.target, it.id)
-        });
-        let taken = self.fitting(&endpoint);
-        if taken.is_empty() {
-            return None;
-        }
+        self.sort(now);
+        let (endpoint, taken) = self.free(now).into_iter().find_map(|endpoint| {
+            let taken = self.fitting(now, &endpoint);
+            (!taken.is_empty()).then_some((endpoint, taken))
+        })?;
         let mut pieces = Vec::with_capacity(taken.len());
         self.queue.retain(|it| {
             let take = taken.contains(&it.id);
@@ -211,40 +231,96 @@
         self.terms.duration(pieces as u32)
     }
 
-    /// The endpoint with the fewest calls and the most room.
-    fn free(&self, now: Time) -> Option<EndpointName> {
+    fn sort(&mut self, now: Time) {
+        let least = self.duration(1);
+        let (begun, queue) = (&self.begun, &mut self.queue);
+        queue.sort_by_cached_key(|it| {
+            let late = now + least > it.target;
+            (late, !begun.contains(&it.group), it.priority, it.target, it.group, it.id)
+        });
+    }
+
+    /// The endpoints that may be called, those with the most room first.
+    fn free(&self, now: Time) -> Vec<EndpointName> {
         let free = |row: &Row| row.calls < self.terms.slots.0 && row.paused <= now;
-        let rows = self.rows.iter().filter(|(_, row)| free(row));
-        rows.min_by_key(|(_, row)| (row.calls, row.used)).map(|(name, _)| name.clone())
+        let mut rows: Vec<_> = self.rows.iter().filter(|(_, row)| free(row)).collect();
+        rows.sort_by_key(|(_, row)| (row.calls, row.used));
+        rows.into_iter().map(|(name, _)| name.clone()).collect()
     }
 
-    /// The pieces from the front that fit into one call, the endpoint's room
-    /// and, for groups that weren't begun, the room of the whole pool.
-    fn fitting(&self, endpoint: &EndpointName) -> IndexSet<PieceId> {
-        let mut waiting: IndexMap<GroupId, u64> = IndexMap::new();
-        for it in &self.queue {
-            *waiting.entry(it.group).or_default() += it.size.0;
+    /// The pieces that go into the next call of an endpoint: whole groups in
+    /// their order, those of the endpoint's own domain first.
+    fn fitting(&self, now: Time, endpoint: &EndpointName) -> IndexSet<PieceId> {
+        let domain = &self.rows[endpoint].domain;
+        let patience = self.duration(1);
+        let is_own = |it: &Piece| it.home.as_ref().is_none_or(|home| home == domain);
+        let may_leave = |it: &Piece| {
+            let served = self.rows.values().any(|row| Some(&row.domain) == it.home.as_ref());
+            !served || now.since(it.since) >= patience
+        };
+        let mut groups: IndexMap<GroupId, Vec<&Piece>> = IndexMap::new();
+        let own = self.queue.iter().filter(|it| is_own(it));
+        let foreign = self.queue.iter().filter(|it| !is_own(it) && may_leave(it));
+        for it in own.chain(foreign) {
+            groups.entry(it.group).or_default().push(it);
         }
-        let spare = |row: &Row| self.terms.room.0.saturating_sub(row.used);
-        let pool: u64 = self.rows.values().map(spare).sum();
-        let promised: u64 = self.begun.iter().filter_map(|it| waiting.get(it)).sum();
-        let mut left = spare(&self.rows[endpoint]);
-        let mut unpromised = pool.saturating_sub(promised);
-        let mut opened: IndexSet<GroupId> = IndexSet::new();
-        let mut taken = IndexSet::new();
-        for it in &self.queue {
-            if taken.len() >= self.terms.pieces as usize {
-                break;
-            }
-            let known = self.begun.contains(&it.group) || opened.contains(&it.group);
-            let needed = if known { 0 } else { waiting[&it.group] };
-            if it.size.0 <= left && needed <= unpromised {
-                left -= it.size.0;
-                unpromised -= needed;
-                opened.insert(it.group);
-                taken.insert(it.id);
+        let mut filling = Filling::new(self, endpoint);
+        groups.iter().for_each(|(group, pieces)| filling.add(*group, pieces));
+        filling.taken
+    }
+}
+
+impl Row {
+    fn new(domain: DomainName) -> Self {
+        Self { domain, calls: 0, used: 0, failures: 0, paused: Time(0) }
+    }
+}
+
+/// A call that is being filled.
+struct Filling<'a> {
+    gather: &'a Gather,
+    taken: IndexSet<PieceId>,
+    /// Room that is left at the endpoint, in bytes.
+    left: u64,
+    /// Room of the whole pool that no begun group needs, in bytes.
+    unpromised: u64,
+    most: usize,
+}
+
+impl<'a> Filling<'a> {
+    fn new(gather: &'a Gather, endpoint: &EndpointName) -> Self {
+        let spare = |row: &Row| gather.terms.room.0.saturating_sub(row.used);
+        let pool: u64 = gather.rows.values().map(spare).sum();
+        let begun = gather.queue.iter().filter(|it| gather.begun.contains(&it.group));
+        let promised: u64 = begun.map(|it| it.size.0).sum();
+        Self {
+            gather,
+            taken: IndexSet::new(),
+            left: spare(&gather.rows[endpoint]),
+            unpromised: pool.saturating_sub(promised),
+            most: gather.terms.pieces as usize,
+        }
+    }
+
+    /// Adds a group whole. Only the first one may be split, if it was begun or
+    /// the pool has room for all of it.
+    fn add(&mut self, group: GroupId, pieces: &[&Piece]) {
+        let begun = self.gather.begun.contains(&group);
+        let size: u64 = pieces.iter().map(|it| it.size.0).sum();
+        let needed = if begun { 0 } else { size };
+        if needed > self.unpromised {
+            return;
+        }
+        let fits = size <= self.left && self.taken.len() + pieces.len() <= self.most;
+        if !fits && !self.taken.is_empty() {
+            return;
+        }
+        self.unpromised -= needed;
+        for it in pieces {
+            if self.taken.len() < self.most && it.size.0 <= self.left {
+                self.left -= it.size.0;
+                self.taken.insert(it.id);
             }
         }
-        taken
     }
 }
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod gather;
 mod holders;
+mod home;
 mod placer;
 mod plan;
 
@@ -11,6 +12,7 @@
     attempts::{Attempts, Ended, Next},
     gather::{CallEnd, Gather, GatherCall, GroupId, Piece, PieceId},
     holders::{entries, holders, rank},
+    home::home,
     placer::{Placer, Wish},
     plan::{Plan, Progress},
 };
--- a/crates/coord/src/relay/placer.rs
+++ b/crates/coord/src/relay/placer.rs
@@ -75,7 +75,7 @@
             untried.iter().copied().filter(|it| !self.is_avoided(now, &it.name)).collect();
         let pick = [&sound, &untried].into_iter().find(|it| !it.is_empty())?;
         match wish.affinity {
-            Some(part) => self.by_affinity(pick, part),
+            Some(part) => self.by_affinity(pick, part, wish.domain),
             None => self.by_load(pick, wish.domain),
         }
     }
@@ -132,12 +132,20 @@
     }
 
     /// The first endpoint in the order of the shared part that isn't loaded far
-    /// beyond the mean.
-    fn by_affinity<'a>(&self, pick: &[&'a Endpoint], part: &[u8]) -> Option<&'a Endpoint> {
+    /// beyond the mean, in the wished domain if there is one.
+    fn by_affinity<'a>(
+        &self,
+        pick: &[&'a Endpoint],
+        part: &[u8],
+        domain: Option<&DomainName>,
+    ) -> Option<&'a Endpoint> {
         let total: u32 = pick.iter().map(|it| self.in_flight(&it.name)).sum();
         let bound = total / pick.len() as u32 + SPREAD;
         let mut order = pick.to_vec();
-        order.sort_by_cached_key(|it| rank(part, it.name.as_str().as_bytes()));
+        order.sort_by_cached_key(|it| {
+            let far = domain.is_some_and(|domain| it.domain != *domain);
+            (far, rank(part, it.name.as_str().as_bytes()))
+        });
         let free = order.iter().find(|it| self.in_flight(&it.name) <= bound);
         free.or(order.first()).copied()
     }
--- a/crates/daemon/src/relay/ask.rs
+++ b/crates/daemon/src/relay/ask.rs
@@ -9,7 +9,9 @@
     },
     coord::{
         catalog::{ApiKey, RelayRoute},
-        ids::{PoolName, TeamName},
+        ids::{DomainName, PoolName, TeamName},
+        relay::home,
+        tables::Endpoint,
         time::Millis,
     },
     http_body_util::Full,
@@ -41,6 +43,8 @@
     pub until: Instant,
     /// What requests that share a cached prompt have in common.
     pub affinity: Option<Vec<u8>>,
+    /// The failure domain in which its stages, and then itself, best run.
+    pub home: Option<DomainName>,
     /// The number of pieces of each stage.
     pub counts: Vec<u32>,
     /// What stages without inputs work on.
@@ -73,6 +77,8 @@
         };
         let counts = counts(&head, names, &route)?;
         let pool = route.pick(rand::random()).ok_or(Denial::NoRoute)?.clone();
+        let affinity = route.sticky.then(|| affinity(&head, names)).flatten();
+        let home = home_of(view, &route, &pool, affinity.as_deref().unwrap_or(id.as_bytes()));
         Ok(Self {
             id,
             pool,
@@ -81,7 +87,8 @@
             received,
             target: received + Duration::from_millis(route.target.0),
             until: received + Duration::from_millis(waits.min(route.timeout).0),
-            affinity: route.sticky.then(|| affinity(&head, names)).flatten(),
+            affinity,
+            home,
             counts,
             source: text(&head, &names.source).unwrap_or_default().to_owned(),
             route,
@@ -161,6 +168,16 @@
     }
 }
 
+/// The domain for a request with stages; any other needs none.
+fn home_of(view: &View, route: &RelayRoute, pool: &PoolName, subject: &[u8]) -> Option<DomainName> {
+    if route.stages.is_empty() {
+        return None;
+    }
+    let pools = route.stages.iter().map(|it| &it.pool).chain([pool]);
+    let pools: Vec<&[Endpoint]> = pools.map(|it| view.endpoints(it)).collect();
+    home(subject, &pools)
+}
+
 /// The number of pieces of each stage; one each where the caller says nothing.
 fn counts(head: &Parts, names: &HeaderNames, route: &RelayRoute) -> Result<Vec<u32>, Denial> {
     let stages = route.stages.len();
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -120,7 +120,8 @@
     fn choose(&self, tried: &[EndpointName]) -> Option<Endpoint> {
         let view = self.relay.view();
         let endpoints: Vec<&Endpoint> = view.endpoints(&self.ask.pool).iter().collect();
-        let wish = Wish { affinity: self.ask.affinity.as_deref(), domain: None, tried };
+        let wish =
+            Wish { affinity: self.ask.affinity.as_deref(), domain: self.ask.home.as_ref(), tried };
         let now = self.relay.now();
         let chosen = self.relay.placer().choose(now, &endpoints, &wish).cloned();
         if let Some(it) = &chosen {
--- a/crates/daemon/src/relay/gatherer.rs
+++ b/crates/daemon/src/relay/gatherer.rs
@@ -19,7 +19,7 @@
         Method, Request, StatusCode,
         header::{CONTENT_TYPE, HOST},
     },
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -48,6 +48,7 @@
 /// One ask on its way.
 struct AskRow {
     ask: GatherAsk,
+    since: Time,
     target: Time,
     due: Time,
     results: RefCell<Vec<Option<Handle>>>,
@@ -202,8 +203,8 @@
         let Some(row) = pools.get_mut(pool) else {
             return;
         };
-        for id in row.gather.expire(now) {
-            row.fail(id, PieceError::Late);
+        for (group, wait) in row.gather.expire(now) {
+            row.expire(group, wait);
         }
         if !row.freeing.is_empty() && !std::mem::replace(&mut row.flushes, true) {
             let (own, pool) = (self.owned(), pool.clone());
@@ -407,9 +408,9 @@
 
     fn reload(&mut self, terms: BatchTerms, endpoints: &[Endpoint]) {
         self.endpoints = endpoints.iter().map(|it| (it.name.clone(), it.clone())).collect();
-        let names: IndexSet<EndpointName> = self.endpoints.keys().cloned().collect();
+        let names = endpoints.iter().map(|it| (it.name.clone(), it.domain.clone())).collect();
         self.gather.reload(terms, &names);
-        if names.is_empty() {
+        if endpoints.is_empty() {
             for id in self.pieces.keys().copied().collect::<Vec<_>>() {
                 self.fail(id, PieceError::Failed);
             }
@@ -425,6 +426,7 @@
     ) {
         let count = ask.count;
         let row = Rc::new(AskRow {
+            since: now,
             target: now + ask.target,
             due: now + ask.due,
             results: RefCell::new(vec![None; count as usize]),
@@ -447,6 +449,8 @@
             target: row.target,
             due: row.due,
             size: row.ask.size,
+            home: row.ask.home.clone(),
+            since: row.since,
         });
         self.pieces.insert(id, waiting);
     }
@@ -541,6 +545,18 @@
         }
     }
 
+    /// Gives a group up that can't be done in time.
+    fn expire(&mut self, group: GroupId, wait: Millis) {
+        if let Some(row) = self.asks.get(&group.0).cloned() {
+            log::info!(
+                request = row.ask.request.as_str(), pool:% = row.ask.pool,
+                waiting = self.gather.len(), wait_ms = wait.0;
+                "[relay] pieces given up, the queue is too long"
+            );
+            self.fail_ask(&row, PieceError::Late);
+        }
+    }
+
     fn fail_ask(&mut self, row: &Rc<AskRow>, err: PieceError) {
         if let Some(respond) = row.respond.borrow_mut().take() {
             // The asker may have left.
--- a/crates/daemon/src/relay/pieces.rs
+++ b/crates/daemon/src/relay/pieces.rs
@@ -3,7 +3,7 @@
 use {
     super::PieceInput,
     coord::{
-        ids::{Bytes, PoolName},
+        ids::{Bytes, DomainName, PoolName},
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -37,6 +37,8 @@
     pub priority: u8,
     /// The approximate size of one result.
     pub size: Bytes,
+    /// The failure domain in which the results are best made.
+    pub home: Option<DomainName>,
     /// From the sending of the ask, until when the results help the request to
     /// be on time, and until when they are of use at all.
     pub target: Millis,
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -154,6 +154,7 @@
             input,
             priority: ask.priority,
             size: row.size,
+            home: ask.home.clone(),
             target: Millis(0),
             due: Millis(0),
         };
