Take nothing new late in a planned stop; count room until it is free

Results that found no room: room was counted as free when a result was given up, 40 ms and a round trip before its endpoint knew.

Room is free once the endpoint has answered; endpoints are told side by side, after 20 ms.

--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -2,6 +2,7 @@
 
 use {
     super::Core,
+    crate::relay::Phase,
     coord::{
         raft::Role,
         time::{Millis, Time},
@@ -28,7 +29,7 @@
     pub(super) fn begin_stop(&mut self, now: Time) {
         if self.stop.is_none() {
             log::info!(held = self.relayed.held(); "[stop] A planned stop begins.");
-            self.relayed.stop();
+            self.relayed.enter(Phase::Leaving);
             self.stop = Some(Stop { began: now, idle: None, released: false });
         }
     }
@@ -40,6 +41,7 @@
         let passed = now.since(stop.began);
         if passed >= self.settings.stop_notice {
             self.router.stop();
+            self.relayed.enter(Phase::Closed);
         } else {
             return;
         }
--- a/crates/daemon/src/relay/answer.rs
+++ b/crates/daemon/src/relay/answer.rs
@@ -28,6 +28,8 @@
     /// The head or the body isn't proper.
     Malformed,
     TooLarge,
+    /// A planned stop takes nothing new.
+    Stopping,
     /// No endpoint of the pool may be given work.
     NoEndpoint,
     /// The stages can't be done in time.
@@ -48,7 +50,7 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoCatalog | Self::NoEndpoint | Self::TooLate | Self::Unrun => {
+            Self::NoCatalog | Self::Stopping | Self::NoEndpoint | Self::TooLate | Self::Unrun => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -64,6 +66,7 @@
             Self::NoKey => "no_key",
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
+            Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
             Self::TooLate => "too_late",
             Self::Unrun => "unrun",
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        PieceError,
+        Phase, PieceError,
         answer::{Answer, Denial, close_after, deny, mark, whole},
         ask::Ask,
         counts::Ending,
@@ -24,6 +24,7 @@
     std::{
         convert::Infallible,
         net::TcpListener,
+        pin::pin,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -93,9 +94,15 @@
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(idle);
     server.max_buf_size((limits.head.0 as usize).max(MIN_BUFFER));
+    let relayed = relay.relayed.clone();
     let service = service_fn(move |request| answer(relay.clone(), request));
+    let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
     // How each request ended is logged with the request.
-    let _ = server.serve_connection(TokioIo::new(stream), service).await;
+    tokio::select! {
+        _ = &mut connection => return,
+        () = relayed.closed() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
 }
 
 /// The least that the server's buffer takes.
@@ -103,7 +110,7 @@
 
 async fn answer(relay: Rc<Relay>, request: Request<Incoming>) -> Result<Answer, Infallible> {
     let mut answer = take(&relay, request).await;
-    if relay.relayed.is_stopping() {
+    if relay.relayed.phase() != Phase::Open {
         close_after(&mut answer);
     }
     Ok(answer)
@@ -118,6 +125,11 @@
     let names = &relay.dialect.headers;
     let id = head.headers.get(&names.request).cloned();
     let ask = match Ask::read(&view, names, head, received) {
+        Ok(it) if relay.relayed.phase() < Phase::Closed => Ok(it),
+        Ok(_) => Err(Denial::Stopping),
+        Err(denial) => Err(denial),
+    };
+    let ask = match ask {
         Ok(it) => it,
         Err(denial) => {
             let id = id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("none");
@@ -126,7 +138,11 @@
                 "[relay] refused"
             );
             counter!("mangobend_relay_refused_total", "reason" => denial.name()).increment(1);
-            let after = (denial == Denial::NoCatalog).then_some(COME_BACK_UNREADY);
+            let after = match denial {
+                Denial::NoCatalog => Some(COME_BACK_UNREADY),
+                Denial::Stopping => Some(Millis(0)),
+                _ => None,
+            };
             return deny(denial, after);
         }
     };
--- a/crates/daemon/src/relay/gatherer.rs
+++ b/crates/daemon/src/relay/gatherer.rs
@@ -29,6 +29,7 @@
     },
     tokio::{
         sync::{mpsc, oneshot},
+        task::JoinSet,
         time::{sleep, timeout},
     },
 };
@@ -41,7 +42,7 @@
 /// How often one piece is called.
 const MOST_TRIES: u32 = 3;
 /// How long freed results are collected before their endpoint is told.
-const FREE_EVERY: Duration = Duration::from_millis(40);
+const FREE_EVERY: Duration = Duration::from_millis(20);
 /// The longest answer of a call.
 const MAX_ANSWER: usize = 1 << 20;
 
@@ -289,39 +290,50 @@
         results.ok_or(CallError::Improper)
     }
 
+    /// Tells the endpoints which results aren't needed any more.
     async fn flush_freed(&self, pool: &PoolName) {
         let freed = self.with(pool, |row| {
             row.flushes = false;
             std::mem::take(&mut row.freeing)
         });
-        let freed = freed.unwrap_or_default();
-        for (name, handles) in freed {
-            let endpoint = self.with(pool, |row| row.endpoints.get(&name).cloned()).flatten();
-            let Some(endpoint) = endpoint else {
-                continue;
-            };
-            let codec = &self.dialect.batches;
-            let body = (codec.encode_free)(&handles);
-            let request = self.request(&endpoint, codec.free_path, body);
-            match self.upstream.send(&endpoint, request).await {
-                Ok((response, lease)) => {
-                    if response.status() != StatusCode::OK {
-                        log::info!(
-                            endpoint = name.as_str(), results = handles.len(),
-                            status = response.status().as_u16();
-                            "[relay] results not freed"
-                        );
-                    }
-                    if response.into_body().collect().await.is_ok() {
-                        lease.close();
-                    }
+        let frees = freed.unwrap_or_default().into_iter().map(|(name, handles)| {
+            let (own, pool) = (self.owned(), pool.clone());
+            async move { own.free_at(&pool, name, handles).await }
+        });
+        let mut running: JoinSet<()> = JoinSet::new();
+        for free in frees {
+            running.spawn_local(free);
+        }
+        running.join_all().await;
+    }
+
+    async fn free_at(&self, pool: &PoolName, name: EndpointName, handles: Vec<Handle>) {
+        let endpoint = self.with(pool, |row| row.endpoints.get(&name).cloned()).flatten();
+        let Some(endpoint) = endpoint else {
+            return;
+        };
+        let codec = &self.dialect.batches;
+        let request = self.request(&endpoint, codec.free_path, (codec.encode_free)(&handles));
+        let problem = match self.upstream.send(&endpoint, request).await {
+            Ok((response, lease)) => {
+                let status = response.status();
+                if response.into_body().collect().await.is_ok() {
+                    lease.close();
                 }
-                // The endpoint drops them by itself when their time has run out.
-                Err(err) => log::info!(
-                    endpoint = name.as_str(), results = handles.len(), error:% = err;
-                    "[relay] results not freed"
-                ),
+                (status != StatusCode::OK).then(|| status.to_string())
+            }
+            Err(err) => Some(err.to_string()),
+        };
+        match problem {
+            None => {
+                self.with(pool, |row| row.gone(&handles));
+                self.pump(pool);
             }
+            // The endpoint drops them by itself when their time has run out.
+            Some(problem) => log::info!(
+                endpoint = name.as_str(), results = handles.len(), problem = problem.as_str();
+                "[relay] results not freed"
+            ),
         }
     }
 
@@ -575,24 +587,28 @@
         made.into_iter().for_each(|it| self.give_up(it));
     }
 
-    /// Frees the room of a result and has its endpoint told.
+    /// Has the endpoint of a result told that it isn't needed any more. Its room
+    /// counts as taken until the endpoint knows.
     fn give_up(&mut self, handle: Handle) {
-        if let Some((endpoint, size)) = self.held.remove(&handle) {
-            self.gather.free_room(&endpoint, size);
-            self.freeing.entry(endpoint).or_default().push(handle);
+        if let Some((endpoint, _)) = self.held.get(&handle) {
+            self.freeing.entry(endpoint.clone()).or_default().push(handle);
         }
     }
 
-    /// Takes in that the time of a call's results has run out.
-    fn run_out(&mut self, pieces: &[Waiting]) {
-        for it in pieces {
-            let results = it.row.results.borrow();
-            let Some(handle) = &results[it.number as usize] else {
-                continue;
-            };
+    /// Takes in that results are gone.
+    fn gone(&mut self, handles: &[Handle]) {
+        for handle in handles {
             if let Some((endpoint, size)) = self.held.remove(handle) {
                 self.gather.free_room(&endpoint, size);
             }
         }
     }
+
+    /// Takes in that the time of a call's results has run out.
+    fn run_out(&mut self, pieces: &[Waiting]) {
+        for it in pieces {
+            let handle = it.row.results.borrow()[it.number as usize].clone();
+            self.gone(handle.as_slice());
+        }
+    }
 }
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -25,6 +25,6 @@
     front::serve,
     pieces::{GatherAnswer, GatherAsk, GatherEvent, Handle, PieceError, PieceResult},
     relay::{Relay, RelayContext},
-    relayed::Relayed,
+    relayed::{Phase, Relayed},
     settings::{RelayBounds, RelaySettings},
 };
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Dialect, GatherEvent, RelayBounds, RelaySettings, Relayed, counts::Counts,
+        Dialect, GatherEvent, Phase, RelayBounds, RelaySettings, Relayed, counts::Counts,
         gatherer::Gatherers, links::Links, upstream::Upstream, view::View,
     },
     coord::{
@@ -102,7 +102,7 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.view().has_catalog() && !self.relayed.is_stopping()
+        self.view().has_catalog() && self.relayed.phase() == Phase::Open
     }
 
     /// The present time for the decisions.
--- a/crates/daemon/src/relay/relayed.rs
+++ b/crates/daemon/src/relay/relayed.rs
@@ -1,26 +1,53 @@
 //! What the core loop and the relay tell each other.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use {
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    tokio::sync::watch,
+};
+
+/// How far a planned stop is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum Phase {
+    #[default]
+    Open,
+    /// The balancer is told to send no more; what still comes is served.
+    Leaving,
+    /// Nothing new is taken; what is held is finished.
+    Closed,
+}
 
 /// Shared between the core loop and the relay.
 #[derive(Debug, Default)]
 pub struct Relayed {
-    stopping: AtomicBool,
+    phase: watch::Sender<Phase>,
     held: AtomicUsize,
 }
 
 /// Counts one held request while it lives.
-pub struct HeldGuard(std::sync::Arc<Relayed>);
+pub struct HeldGuard(Arc<Relayed>);
 
 impl Relayed {
-    /// Notes that a planned stop has begun.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Notes how far a planned stop is; it never goes back.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_if_modified(|old| {
+            let later = phase > *old;
+            *old = phase.max(*old);
+            later
+        });
+    }
+
+    /// How far a planned stop is.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
     }
 
-    /// Whether a planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+    /// Waits until nothing new is taken.
+    pub async fn closed(&self) {
+        // It never fails while the sender lives.
+        let _ = self.phase.subscribe().wait_for(|it| *it == Phase::Closed).await;
     }
 
     /// Relayed requests that have no whole answer yet.
@@ -29,7 +56,7 @@
     }
 
     /// Counts a request as held until the guard is dropped.
-    pub fn hold(self: &std::sync::Arc<Self>) -> HeldGuard {
+    pub fn hold(self: &Arc<Self>) -> HeldGuard {
         self.held.fetch_add(1, Ordering::Relaxed);
         HeldGuard(self.clone())
     }
