Wait for room on a full disk instead of ending

Change: a write that finds no room is undone and tried again; nothing of it is acknowledged meanwhile, and followers that have room make the majority.

--- a/crates/daemon/src/disk/error.rs
+++ b/crates/daemon/src/disk/error.rs
@@ -5,7 +5,7 @@
     std::{io, path::PathBuf},
 };
 
-/// An error of the data folder. Each one ends the process.
+/// An error of the data folder. Each one but a full disk ends the process.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(super)))]
 pub enum DiskError {
@@ -20,3 +20,13 @@
     #[snafu(display("{} is damaged at byte {at}: {detail}", path.display()))]
     Damaged { path: PathBuf, at: u64, detail: String },
 }
+
+impl DiskError {
+    /// Whether the disk only has no room at present.
+    pub fn is_full(&self) -> bool {
+        let Self::Write { source, .. } = self else {
+            return false;
+        };
+        matches!(source.kind(), io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded)
+    }
+}
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -1,7 +1,7 @@
 //! Whole files that are replaced in one step.
 
 use {
-    super::{DiskError, error::*},
+    super::{DiskError, error::*, when_room},
     snafu::ResultExt,
     std::{
         fs::{self, File, TryLockError},
@@ -58,14 +58,19 @@
             file.sync_all()?;
             fs::rename(&fresh, &path)
         };
-        write().context(WriteSnafu { path: &path })?;
+        let undo = || {
+            self.remove(&format!("{name}.new"));
+            Ok(())
+        };
+        when_room(|| write().context(WriteSnafu { path: &path }), undo)?;
         self.sync()
     }
 
     /// Makes new and removed names durable.
     pub fn sync(&self) -> Result<(), DiskError> {
         let path = &self.path;
-        File::open(path).and_then(|it| it.sync_all()).context(WriteSnafu { path })
+        let sync = || File::open(path).and_then(|it| it.sync_all()).context(WriteSnafu { path });
+        when_room(sync, || Ok(()))
     }
 
     /// Removes a file, if it is there.
--- a/crates/daemon/src/disk/mod.rs
+++ b/crates/daemon/src/disk/mod.rs
@@ -4,7 +4,11 @@
 mod folder;
 mod frame;
 mod identity;
+mod room;
 mod store;
 mod writer;
 
-pub use {error::DiskError, folder::Folder, identity::Identity, store::Store, writer::DiskWriter};
+pub use {
+    error::DiskError, folder::Folder, identity::Identity, room::when_room, store::Store,
+    writer::DiskWriter,
+};
--- a/crates/daemon/src/disk/store.rs
+++ b/crates/daemon/src/disk/store.rs
@@ -8,6 +8,7 @@
         DiskError, Folder,
         error::*,
         frame::{self, Parsed},
+        when_room,
     },
     coord::{
         ids::{Index, Term},
@@ -57,6 +58,8 @@
     segments: Vec<Segment>,
     seq: u64,
     hard: Hard,
+    /// The length of the open segment's whole frames, in bytes.
+    length: u64,
 }
 
 impl Store {
@@ -84,7 +87,7 @@
         let (hard, seq, segments) = (reader.hard, reader.seq, reader.segments);
         let number = segments.last().map_or(0, |it| segment_number(&it.name)) + 1;
         let (file, path, name) = start_segment(&folder, number)?;
-        let mut store = Self { folder, file, path, segments, seq, hard };
+        let mut store = Self { folder, file, path, segments, seq, hard, length: 0 };
         store.segments.push(Segment { name, last: Index(0) });
         store.write(&[DiskOp::Hard(hard)])?;
         Ok((store, Restored { hard, snapshot, entries }))
@@ -140,9 +143,15 @@
         self.seq += 1;
         let mut bytes = Vec::with_capacity(body.len() + frame::HEADER);
         frame::write(&mut bytes, self.seq, &body);
-        let path = &self.path;
-        self.file.write_all(&bytes).context(WriteSnafu { path })?;
-        self.file.sync_data().context(WriteSnafu { path })
+        let (path, file, whole) = (&self.path, &self.file, self.length);
+        let write = || {
+            let mut file = file;
+            file.write_all(&bytes).and_then(|()| file.sync_data()).context(WriteSnafu { path })
+        };
+        // A part of the frame must not stand before the next try.
+        when_room(write, || file.set_len(whole).context(WriteSnafu { path }))?;
+        self.length += bytes.len() as u64;
+        Ok(())
     }
 
     fn save_snapshot(&self, snapshot: &Snapshot) -> Result<(), DiskError> {
@@ -156,7 +165,7 @@
     fn roll(&mut self, covered: Index) -> Result<(), DiskError> {
         let number = segment_number(&self.segments.last().expect("a segment").name) + 1;
         let (file, path, name) = start_segment(&self.folder, number)?;
-        (self.file, self.path) = (file, path);
+        (self.file, self.path, self.length) = (file, path, 0);
         self.segments.push(Segment { name, last: Index(0) });
         let marker = DiskOp::Snapshot { index: covered, term: Term(0) };
         self.write(&[DiskOp::Hard(self.hard), marker])?;
@@ -264,8 +273,11 @@
 fn start_segment(folder: &Folder, number: u64) -> Result<(File, PathBuf, String), DiskError> {
     let name = format!("{SEGMENT}{number:020}");
     let path = folder.file(&name);
-    let file = OpenOptions::new().create_new(true).append(true).open(&path);
-    let file = file.context(WriteSnafu { path: &path })?;
+    let open = || {
+        let file = OpenOptions::new().create_new(true).append(true).open(&path);
+        file.context(WriteSnafu { path: &path })
+    };
+    let file = when_room(open, || Ok(()))?;
     folder.sync()?;
     Ok((file, path, name))
 }
