Order pieces by what full calls and measured runs leave of the target

The order took calls of one piece and a run of 50 ms for granted, where calls are full and runs take up to 320 ms at the 90th percentile.

Change: targets and ends of a stage leave room for a full call of each later stage, the queues there as gatherers report them, and the time that requests of that size took at their endpoints so far. A piece counts as late when a full call would end behind its target.

--- a/crates/coord/src/catalog/service.rs
+++ b/crates/coord/src/catalog/service.rs
@@ -46,6 +46,11 @@
 }
 
 impl BatchTerms {
+    /// How long a full call takes.
+    pub fn full(&self) -> Millis {
+        self.duration(self.pieces)
+    }
+
     /// How long a call of some pieces takes.
     pub fn duration(&self, pieces: u32) -> Millis {
         Millis(self.call.0 + u64::from(pieces) * self.piece_us / 1000)
--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -134,11 +134,7 @@
     /// Takes out the groups that can't be done in time behind those before
     /// them, with the time in which what waits will be done.
     pub fn expire(&mut self, now: Time) -> Vec<(GroupId, Millis)> {
-        let full = self.terms.pieces.max(1);
-        let each = self.duration(full as usize).0 as f64
-            / (f64::from(full)
-                * f64::from(self.terms.slots.0.max(1))
-                * self.rows.len().max(1) as f64);
+        let each = self.each();
         let least = self.duration(1);
         self.sort(now);
         let mut expired: IndexMap<GroupId, Millis> = IndexMap::new();
@@ -157,6 +153,15 @@
         expired.into_iter().collect()
     }
 
+    /// How long a piece that comes now waits behind those that go before it.
+    pub fn wait(&self, now: Time, priority: u8) -> Millis {
+        let call = self.terms.full();
+        let before = self.queue.iter().filter(|it| {
+            now + call <= it.target && (it.priority <= priority || self.begun.contains(&it.group))
+        });
+        Millis((before.count() as f64 * self.each()) as u64)
+    }
+
     /// The next call, if an endpoint is free and something fits. First come
     /// the pieces that can still be on time; of these the groups that were
     /// begun, then the most urgent.
@@ -231,11 +236,19 @@
         self.terms.duration(pieces as u32)
     }
 
+    /// The time that each piece takes in full calls of all endpoints, in
+    /// milliseconds.
+    fn each(&self) -> f64 {
+        let full = self.terms.pieces.max(1);
+        let calls = f64::from(self.terms.slots.0.max(1)) * self.rows.len().max(1) as f64;
+        self.terms.full().0 as f64 / (f64::from(full) * calls)
+    }
+
     fn sort(&mut self, now: Time) {
-        let least = self.duration(1);
+        let call = self.terms.full();
         let (begun, queue) = (&self.begun, &mut self.queue);
         queue.sort_by_cached_key(|it| {
-            let late = now + least > it.target;
+            let late = now + call > it.target;
             (late, !begun.contains(&it.group), it.priority, it.target, it.group, it.id)
         });
     }
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod gather;
 mod holders;
 mod home;
+mod outlook;
 mod placer;
 mod plan;
 
@@ -13,6 +14,7 @@
     gather::{CallEnd, Gather, GatherCall, GroupId, Piece, PieceId},
     holders::{entries, holders, rank},
     home::home,
+    outlook::Outlook,
     placer::{Placer, Wish},
     plan::{Plan, Progress},
 };
--- a/crates/coord/src/router/estimate.rs
+++ b/crates/coord/src/router/estimate.rs
@@ -55,6 +55,12 @@
         Some(Millis(row.mean as u64))
     }
 
+    /// A time that the stage mostly keeps to, once enough is known.
+    pub fn likely(&self, pool: &PoolName, stage: &StageName, size: usize) -> Option<Millis> {
+        let row = self.row(pool, stage, size)?;
+        Some(Millis((row.mean + row.spread) as u64))
+    }
+
     /// A time that the stage seldom exceeds, once enough is known.
     pub fn high(&self, pool: &PoolName, stage: &StageName, size: usize) -> Option<Millis> {
         let row = self.row(pool, stage, size)?;
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -4,7 +4,7 @@
     super::{MAX_MESSAGE, PeerAnswer, PeerCall},
     crate::{
         event::{Event, Inbox},
-        relay::{GatherAnswer, GatherAsk, GatherEvent, Handle},
+        relay::{GatherAsk, GatherEvent, GatherReply, Handle},
     },
     coord::{
         control::Envelope,
@@ -92,7 +92,7 @@
 async fn gather(
     params: Params<'static>,
     context: &Context,
-) -> Result<GatherAnswer, ErrorObjectOwned> {
+) -> Result<GatherReply, ErrorObjectOwned> {
     let (secret, ask): (String, Box<GatherAsk>) = params.parse()?;
     check(&secret, context)?;
     let (respond, answer) = oneshot::channel();
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -25,7 +25,7 @@
         header::CONTENT_LENGTH,
         http::response::Parts,
     },
-    std::rc::Rc,
+    std::{rc::Rc, time::Instant},
     tokio::time::timeout_at,
 };
 
@@ -145,6 +145,7 @@
             self.body.clone(),
         );
         let until = self.ask.until.into();
+        let began = Instant::now();
         let sent = timeout_at(until, self.relay.upstream.send(endpoint, request)).await;
         let (response, lease) = match sent {
             Err(_) => return Reply::TimedOut,
@@ -154,6 +155,7 @@
         if let Some(reply) = check_head(names, &self.ask, &response) {
             return reply;
         }
+        self.relay.measure_run(&self.ask.pool, self.body.len(), began.elapsed());
         if response.status().is_success() && self.ask.route.repeat.is_stream() {
             return Reply::Stream(response, lease);
         }
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -175,9 +175,9 @@
         Ok(Err(_)) => return Err((Denial::Malformed, None)),
         Err(_) => return Err((Denial::TooLate, None)),
     };
-    let mut results = stages::run(relay, ask).await;
+    let mut results = stages::run(relay, ask, body.len()).await;
     if matches!(results, Err(PieceError::Gone)) {
-        results = stages::run(relay, ask).await;
+        results = stages::run(relay, ask, body.len()).await;
     }
     match results {
         Ok(it) => Ok((body, it)),
--- a/crates/daemon/src/relay/gatherer.rs
+++ b/crates/daemon/src/relay/gatherer.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Dialect, GatherAnswer, GatherAsk, GatherEvent, Handle, PieceError, PieceItem, PieceResult,
+        Dialect, GatherAnswer, GatherAsk, GatherEvent, GatherReply, Handle, PieceError, PieceItem,
+        PieceResult,
         relay::time_since,
         upstream::{SendError, Upstream},
         view::View,
@@ -53,7 +54,7 @@
     target: Time,
     due: Time,
     results: RefCell<Vec<Option<Handle>>>,
-    respond: RefCell<Option<oneshot::Sender<GatherAnswer>>>,
+    respond: RefCell<Option<oneshot::Sender<GatherReply>>>,
 }
 
 #[derive(Clone)]
@@ -76,6 +77,7 @@
     flushes: bool,
     /// Until when the pump sleeps, if it does.
     wakes: Option<Time>,
+    start: Instant,
 }
 
 /// The gatherers of this instance.
@@ -123,7 +125,7 @@
             batches.filter_map(|(name, it)| Some((name, it.batch?))).collect();
         pools.retain(|name, _| terms.contains_key(name));
         for (name, terms) in terms {
-            let row = pools.entry(name.clone()).or_insert_with(|| PoolRow::new(terms));
+            let row = pools.entry(name.clone()).or_insert_with(|| PoolRow::new(terms, self.start));
             row.reload(terms, view.endpoints(name));
         }
         let names: Vec<PoolName> = pools.keys().cloned().collect();
@@ -143,13 +145,13 @@
     }
 
     /// Gathers the pieces of an ask of this instance.
-    pub async fn ask(self: &Rc<Self>, ask: GatherAsk) -> GatherAnswer {
+    pub async fn ask(self: &Rc<Self>, ask: GatherAsk) -> GatherReply {
         let mut guard = CancelGuard { gatherers: self.clone(), id: Some(ask.id) };
         let (respond, answer) = oneshot::channel();
         self.take(ask, respond);
-        let answer = answer.await.unwrap_or(Err(PieceError::Failed));
+        let reply = answer.await.unwrap_or(GatherReply::failed(PieceError::Failed));
         guard.id = None;
-        answer
+        reply
     }
 
     /// Gives results up.
@@ -176,7 +178,7 @@
         self.pump(&pool);
     }
 
-    fn take(&self, ask: GatherAsk, respond: oneshot::Sender<GatherAnswer>) {
+    fn take(&self, ask: GatherAsk, respond: oneshot::Sender<GatherReply>) {
         let now = time_since(self.start);
         let pool = ask.pool.clone();
         let mut pools = self.pools.borrow_mut();
@@ -187,7 +189,7 @@
                 "[relay] stage refused: the pool has no endpoint"
             );
             // The asker may have left.
-            let _ = respond.send(Err(PieceError::Failed));
+            let _ = respond.send(GatherReply::failed(PieceError::Failed));
             return;
         };
         let first = self.pieces.get();
@@ -405,7 +407,7 @@
 }
 
 impl PoolRow {
-    fn new(terms: BatchTerms) -> Self {
+    fn new(terms: BatchTerms, start: Instant) -> Self {
         Self {
             gather: Gather::new(terms),
             endpoints: IndexMap::new(),
@@ -415,6 +417,7 @@
             freeing: IndexMap::new(),
             flushes: false,
             wakes: None,
+            start,
         }
     }
 
@@ -434,7 +437,7 @@
         now: Time,
         first: u64,
         ask: GatherAsk,
-        respond: oneshot::Sender<GatherAnswer>,
+        respond: oneshot::Sender<GatherReply>,
     ) {
         let count = ask.count;
         let row = Rc::new(AskRow {
@@ -537,7 +540,9 @@
         self.asks.remove(&row.ask.id);
         self.gather.close_group(GroupId(row.ask.id));
         let respond = row.respond.borrow_mut().take();
-        if let Some(Err(Ok(results))) = respond.map(|it| it.send(Ok(results))) {
+        let reply = self.reply(row, Ok(results));
+        if let Some(Err(GatherReply { answer: Ok(results), .. })) = respond.map(|it| it.send(reply))
+        {
             results.into_iter().for_each(|it| self.give_up(it));
         }
     }
@@ -572,11 +577,16 @@
     fn fail_ask(&mut self, row: &Rc<AskRow>, err: PieceError) {
         if let Some(respond) = row.respond.borrow_mut().take() {
             // The asker may have left.
-            let _ = respond.send(Err(err));
+            let _ = respond.send(self.reply(row, Err(err)));
         }
         self.drop_ask(row.ask.id);
     }
 
+    fn reply(&self, row: &AskRow, answer: GatherAnswer) -> GatherReply {
+        let wait = self.gather.wait(time_since(self.start), row.ask.priority);
+        GatherReply { answer, wait }
+    }
+
     fn drop_ask(&mut self, id: u64) {
         let Some(row) = self.asks.remove(&id) else {
             return;
--- a/crates/daemon/src/relay/links.rs
+++ b/crates/daemon/src/relay/links.rs
@@ -1,7 +1,7 @@
 //! Calls the gatherers of other instances.
 
 use {
-    super::{GatherAnswer, GatherAsk, Handle, PieceError},
+    super::{GatherAsk, GatherReply, Handle, PieceError},
     crate::peers::MAX_MESSAGE,
     coord::ids::PoolName,
     jsonrpsee::{
@@ -80,14 +80,14 @@
     }
 
     /// Has an instance gather the pieces of an ask.
-    pub async fn ask(&self, to: SocketAddr, ask: GatherAsk) -> GatherAnswer {
+    pub async fn ask(&self, to: SocketAddr, ask: GatherAsk) -> GatherReply {
         let Some(client) = self.client(to).await else {
             self.avoid(to);
-            return Err(PieceError::Unreachable);
+            return GatherReply::failed(PieceError::Unreachable);
         };
         let mut guard =
             CancelGuard { client: client.clone(), secret: self.secret.clone(), id: Some(ask.id) };
-        let answer = client.request::<GatherAnswer, _>("gather", rpc_params![&*self.secret, &ask]);
+        let answer = client.request::<GatherReply, _>("gather", rpc_params![&*self.secret, &ask]);
         let answer = answer.await;
         guard.id = None;
         answer.unwrap_or_else(|err| {
@@ -97,7 +97,7 @@
             );
             self.clients.borrow_mut().remove(&to);
             self.avoid(to);
-            Err(PieceError::Unreachable)
+            GatherReply::failed(PieceError::Unreachable)
         })
     }
 
--- a/crates/daemon/src/relay/pieces.rs
+++ b/crates/daemon/src/relay/pieces.rs
@@ -51,6 +51,21 @@
 /// One result for each piece, in order.
 pub type GatherAnswer = Result<Vec<Handle>, PieceError>;
 
+/// The answer to an ask, with the state of the queue.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatherReply {
+    pub answer: GatherAnswer,
+    /// How long a piece of the same priority would wait now.
+    pub wait: Millis,
+}
+
+impl GatherReply {
+    /// An answer of nobody's queue.
+    pub fn failed(err: PieceError) -> Self {
+        Self { answer: Err(err), wait: Millis(0) }
+    }
+}
+
 /// Why a stage has no result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -69,7 +84,7 @@
 
 /// Something for the gatherers of this instance, from a peer.
 pub enum GatherEvent {
-    Ask { ask: Box<GatherAsk>, respond: oneshot::Sender<GatherAnswer> },
+    Ask { ask: Box<GatherAsk>, respond: oneshot::Sender<GatherReply> },
     Cancel(u64),
     Free { pool: PoolName, results: Vec<Handle> },
 }
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -6,11 +6,11 @@
         gatherer::Gatherers, links::Links, upstream::Upstream, view::View,
     },
     coord::{
-        ids::{EndpointName, PoolName},
-        relay::Placer,
-        router::RetryBudget,
+        ids::{EndpointName, PoolName, StageName},
+        relay::{Outlook, Placer},
+        router::{Estimator, RetryBudget},
         tables::Tables,
-        time::Time,
+        time::{Millis, Time},
     },
     std::{
         cell::RefCell,
@@ -29,6 +29,12 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 
+/// The name under which the time of requests at their endpoints is measured,
+/// from sending to the head of the answer.
+const RUN: &str = "run";
+/// That time before enough is measured: one long prompt at a busy engine.
+const RUN_DEFAULT: Millis = Millis(200);
+
 /// What the relay is given at its start.
 pub struct RelayContext {
     pub settings: RelaySettings,
@@ -53,6 +59,9 @@
     placer: Rc<RefCell<Placer>>,
     view: RefCell<Rc<View>>,
     budgets: RefCell<HashMap<PoolName, RetryBudget>>,
+    outlook: RefCell<Outlook>,
+    runs: RefCell<Estimator>,
+    run: StageName,
     bounds: RelayBounds,
     start: Instant,
 }
@@ -86,6 +95,9 @@
             placer: Rc::new(RefCell::new(Placer::new(rand::random()))),
             view: RefCell::new(Rc::new(View::new(tables.borrow_and_update().clone()))),
             budgets: RefCell::default(),
+            outlook: RefCell::default(),
+            runs: RefCell::default(),
+            run: RUN.parse().expect("the name is valid"),
             bounds: settings.bounds,
             start,
         });
@@ -121,6 +133,27 @@
         InFlight { placer: self.placer.clone(), endpoint: endpoint.clone() }
     }
 
+    /// Takes in how long a request with a body of some bytes took at a pool.
+    pub fn measure_run(&self, pool: &PoolName, size: usize, took: Duration) {
+        let took = Millis(took.as_millis() as u64);
+        self.runs.borrow_mut().measure(pool, &self.run, size, took);
+    }
+
+    /// How long such a request likely takes.
+    pub fn run_time(&self, pool: &PoolName, size: usize) -> Millis {
+        self.runs.borrow().likely(pool, &self.run, size).unwrap_or(RUN_DEFAULT)
+    }
+
+    /// Takes in how long pieces of a pool wait.
+    pub fn note_wait(&self, pool: &PoolName, priority: u8, wait: Millis) {
+        self.outlook.borrow_mut().report(self.now(), pool, priority, wait);
+    }
+
+    /// How long a piece of a pool is expected to wait.
+    pub fn wait(&self, pool: &PoolName, priority: u8) -> Millis {
+        self.outlook.borrow().wait(self.now(), pool, priority)
+    }
+
     /// Earns a part of a retry by a first attempt at a pool.
     pub fn earn_retry(&self, pool: &PoolName) {
         self.with_budget(pool, |it, _| it.earn());
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -1,9 +1,7 @@
 //! Runs the stages of a request, each as soon as those that it needs are done.
 
 use {
-    super::{
-        GatherAnswer, GatherAsk, Handle, PieceError, PieceInput, ask::Ask, relay::Relay, view::View,
-    },
+    super::{GatherAsk, GatherReply, Handle, PieceError, PieceInput, ask::Ask, relay::Relay},
     coord::{
         ids::PoolName,
         relay::{Plan, Progress},
@@ -17,9 +15,6 @@
     tokio::task::JoinSet,
 };
 
-/// The least time that the request itself needs behind its stages: one prompt
-/// read by an idle engine.
-const LEAST_RUN: Millis = Millis(50);
 /// The most instances that are asked to gather for one stage.
 const MOST_HOLDERS: usize = 2;
 
@@ -69,24 +64,25 @@
     }
 }
 
-/// Runs all stages.
+/// Runs all stages of a request with a body of `size` bytes.
 ///
 /// # Errors
 /// A stage has no result, so the request can't run.
-pub async fn run(relay: &Rc<Relay>, ask: &Ask) -> Result<Results, PieceError> {
+pub async fn run(relay: &Rc<Relay>, ask: &Ask, size: usize) -> Result<Results, PieceError> {
+    let run_time = relay.run_time(&ask.pool, size);
     let route = &ask.route;
     let mut results = Results {
         relay: relay.clone(),
         stages: route.stages.iter().map(|_| None).collect(),
         last: route.last_stages().collect(),
     };
-    let plan = Plan::new(&route.stages, times(&relay.view(), ask));
+    let plan = Plan::new(&route.stages, times(relay, ask));
     let mut progress = vec![Progress::Waiting; route.stages.len()];
     let mut running = JoinSet::new();
     loop {
         for stage in plan.due(&progress) {
             progress[stage] = Progress::Running;
-            let job = Job::new(relay, ask, &results, stage, plan.tail(stage) + LEAST_RUN);
+            let job = Job::new(relay, ask, &results, stage, plan.tail(stage) + run_time);
             let relay = relay.clone();
             running.spawn_local(async move { (stage, job.run(relay).await) });
         }
@@ -100,13 +96,16 @@
     }
 }
 
-/// The least time of each stage: one call of all its pieces.
-fn times(view: &View, ask: &Ask) -> Vec<Millis> {
+/// The expected time of each stage: its place in the queue and one call, which
+/// others' pieces fill.
+fn times(relay: &Relay, ask: &Ask) -> Vec<Millis> {
+    let view = relay.view();
     let time = |stage: usize| {
         let pool = &ask.route.stages[stage].pool;
         let terms = view.catalog().services.get(pool).and_then(|it| it.batch);
         let count = ask.counts[stage];
-        terms.filter(|_| count > 0).map_or(Millis(0), |it| it.duration(count))
+        let wait = relay.wait(pool, ask.priority);
+        terms.filter(|_| count > 0).map_or(Millis(0), |it| wait + it.full())
     };
     (0..ask.route.stages.len()).map(time).collect()
 }
@@ -172,11 +171,13 @@
         if self.ask.count == 0 {
             return Ok(Made { pool, by: relay.peer, results: Vec::new() });
         }
-        let mut answer: GatherAnswer = Err(PieceError::Unreachable);
+        let mut answer = Err(PieceError::Unreachable);
         let mut by = relay.peer;
         for holder in relay.links.order(&self.holders).into_iter().take(MOST_HOLDERS) {
             by = holder;
-            answer = self.ask_holder(&relay, holder).await;
+            let reply = self.ask_holder(&relay, holder).await;
+            relay.note_wait(&pool, self.ask.priority, reply.wait);
+            answer = reply.answer;
             if !matches!(answer, Err(PieceError::Unreachable)) {
                 break;
             }
@@ -191,7 +192,7 @@
         answer.map(|results| Made { pool, by, results })
     }
 
-    async fn ask_holder(&self, relay: &Rc<Relay>, holder: SocketAddr) -> GatherAnswer {
+    async fn ask_holder(&self, relay: &Rc<Relay>, holder: SocketAddr) -> GatherReply {
         let now = Instant::now();
         let left = |until: Instant| Millis(until.saturating_duration_since(now).as_millis() as u64);
         let ask = GatherAsk { target: left(self.target), due: left(self.due), ..self.ask.clone() };
