Aim to end stages 100 ms before they must

Cause: what varies behind the stages (way, fetching of inputs, prompts of others) still made requests late that were planned to the millisecond.

Change: the target of each stage is 100 ms earlier.

--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -15,6 +15,9 @@
     tokio::task::JoinSet,
 };
 
+/// How much earlier than needed stages aim to be done, for what varies behind
+/// them.
+const MARGIN: Duration = Duration::from_millis(100);
 /// The most instances that are asked to gather for one stage.
 const MOST_HOLDERS: usize = 2;
 
@@ -159,7 +162,7 @@
         };
         Self {
             ask: gather,
-            target: ask.target.checked_sub(tail).unwrap_or(ask.received),
+            target: ask.target.checked_sub(tail + MARGIN).unwrap_or(ask.received),
             due: ask.until.checked_sub(tail).unwrap_or(ask.received),
             holders: view.holders(&row.pool),
         }
