Test the relay against scripted endpoints, and its decisions on their own

Each way in which an endpoint misbehaves on the wire has a case against a stand-in that follows a script byte by byte: unsigned and foreign answers, bytes behind a whole answer, broken and unframed bodies, early answers, stale connections, refusals without the word that nothing ran.

Found by them: a relay that started with tables did not know its pools until the tables changed, so stages had no gatherer; it reads them at its start now.

--- /dev/null
+++ b/crates/coord/tests/catalog.rs
@@ -0,0 +1,148 @@
+//! What a catalog accepts, and how it takes effect.
+
+use {
+    coord::{
+        catalog::{
+            ApiKey, Catalog, CatalogError, CatalogLimits, ColdBound, RelayRoute, RelayStage,
+            Repeat, RouteIndex, Service, Split, TeamEntry,
+        },
+        ids::{Bytes, CatalogVersion, Index, PoolName},
+        tables::{Command, Outcome, State},
+        time::Millis,
+    },
+    std::sync::Arc,
+};
+
+fn pool(name: &str) -> PoolName {
+    name.parse().expect("a name")
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> RelayRoute {
+    RelayRoute {
+        name: name.parse().expect("a name"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: Millis(1000),
+        target: Millis(100),
+        priority: 0,
+        split: vec![Split { pool: pool("p"), weight: 1 }],
+        attempts: 1,
+        stages: Vec::new(),
+        public: false,
+        sticky: false,
+        pause: None,
+    }
+}
+
+fn catalog(version: u64, routes: Vec<RelayRoute>) -> Catalog {
+    let service = Service {
+        health: "/".to_owned(),
+        connections: 1,
+        cold: ColdBound::default(),
+        engine: None,
+        batch: None,
+    };
+    Catalog {
+        version: CatalogVersion(version),
+        routes,
+        services: [(pool("p"), service)].into_iter().collect(),
+        teams: Default::default(),
+        limits: CatalogLimits::default(),
+    }
+}
+
+fn put(state: &mut State, index: u64, catalog: Catalog, document: &str) -> Outcome {
+    let command = Command::Catalog { catalog: Arc::new(catalog), document: document.into() };
+    state.apply(Index(index), &command).outcome
+}
+
+#[test]
+fn a_proper_catalog_is_accepted() {
+    let routes = vec![route("a", "h", "/"), route("b", "h", "/x/"), route("c", "i", "/")];
+
+    assert_eq!(catalog(1, routes).check(), Ok(()));
+}
+
+#[test]
+fn what_cannot_take_effect_is_named() {
+    let mut unknown = route("a", "h", "/");
+    unknown.split[0].pool = pool("q");
+    let mut weightless = route("a", "h", "/");
+    weightless.split[0].weight = 0;
+    let mut timeless = route("a", "h", "/");
+    timeless.timeout = Millis(0);
+    let mut circular = route("a", "h", "/");
+    circular.stages = vec![RelayStage { pool: pool("p"), after: vec![0], size: Bytes(1) }];
+
+    let errors: Vec<CatalogError> =
+        [vec![unknown], vec![weightless], vec![timeless], vec![circular]]
+            .into_iter()
+            .map(|routes| catalog(1, routes).check().expect_err("it is invalid"))
+            .collect();
+    let twice = catalog(1, vec![route("a", "h", "/"), route("b", "h", "/")]).check();
+
+    assert!(matches!(errors[0], CatalogError::UnknownService { .. }));
+    assert!(matches!(errors[1], CatalogError::NoWeight { .. }));
+    assert!(matches!(errors[2], CatalogError::NoTimeout { .. }));
+    assert!(matches!(errors[3], CatalogError::StageOrder { .. }));
+    assert!(matches!(twice, Err(CatalogError::SamePlace { .. })));
+}
+
+#[test]
+fn two_teams_cannot_share_a_key() {
+    let mut shared = catalog(1, vec![route("a", "h", "/")]);
+    for name in ["t", "u"] {
+        let entry = TeamEntry { keys: vec![ApiKey("k".to_owned())], priority: None };
+        shared.teams.insert(name.parse().expect("a name"), entry);
+    }
+
+    assert!(matches!(shared.check(), Err(CatalogError::SharedKey { .. })));
+}
+
+#[test]
+fn keys_stay_out_of_debug_output() {
+    assert!(!format!("{:?}", ApiKey("secret".to_owned())).contains("secret"));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![route("a", "h", "/"), route("b", "h", "/x/"), route("c", "i", "/x/y/")];
+    let index = RouteIndex::new(&catalog(1, routes));
+
+    assert_eq!(index.find("h", "/x/y/z"), Some(1));
+    assert_eq!(index.find("H:8080", "/z"), Some(0));
+    assert_eq!(index.find("i", "/x/"), None);
+    assert_eq!(index.find("j", "/"), None);
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let mut split = route("a", "h", "/");
+    split.split = vec![
+        Split { pool: pool("p"), weight: 3 },
+        Split { pool: pool("q"), weight: 0 },
+        Split { pool: pool("r"), weight: 1 },
+    ];
+
+    let picked: Vec<&str> = (0..8).filter_map(|it| split.pick(it)).map(PoolName::as_str).collect();
+
+    assert_eq!(picked, ["p", "p", "p", "r", "p", "p", "p", "r"]);
+}
+
+#[test]
+fn the_highest_number_takes_effect_whatever_the_order() {
+    let mut state = State::default();
+
+    let outcomes = [
+        put(&mut state, 1, catalog(5, vec![route("a", "h", "/")]), "five"),
+        put(&mut state, 2, catalog(3, vec![route("b", "h", "/")]), "three"),
+        put(&mut state, 3, catalog(5, vec![route("c", "h", "/")]), "other five"),
+    ];
+
+    assert!(outcomes.iter().all(|it| *it == Outcome::Done), "each is acknowledged");
+    assert_eq!(state.document.as_deref(), Some("five"));
+    assert_eq!(state.tables.catalog.routes[0].name.as_str(), "a");
+    put(&mut state, 4, catalog(6, vec![route("d", "h", "/")]), "six");
+    assert_eq!(state.tables.catalog.version, CatalogVersion(6));
+}
--- /dev/null
+++ b/crates/coord/tests/relay.rs
@@ -0,0 +1,244 @@
+//! Where relayed requests go, and what may be repeated.
+
+use {
+    coord::{
+        catalog::{RelayRoute, RelayStage, Repeat, Split},
+        ids::{Bytes, EndpointName, Generation, Incarnation, NodeId, Slots},
+        relay::{Attempts, Ended, Next, Outlook, Placer, Plan, Progress, Wish, holders, home},
+        tables::{Endpoint, EndpointState, Member, Tables},
+        time::{Millis, Time},
+    },
+    std::collections::HashMap,
+};
+
+const START: Time = Time(1000);
+
+fn route(repeat: Repeat, attempts: u32) -> RelayRoute {
+    RelayRoute {
+        name: "r".parse().expect("a name"),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        repeat,
+        timeout: Millis(1000),
+        target: Millis(100),
+        priority: 0,
+        split: vec![Split { pool: "p".parse().expect("a name"), weight: 1 }],
+        attempts,
+        stages: Vec::new(),
+        public: false,
+        sticky: false,
+        pause: None,
+    }
+}
+
+fn endpoint(name: &str, domain: &str) -> Endpoint {
+    Endpoint {
+        name: name.parse().expect("a name"),
+        pool: "p".parse().expect("a name"),
+        domain: domain.parse().expect("a name"),
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        generation: Generation(1),
+        state: EndpointState::Warm,
+        slots: Slots(8),
+        cold_slots: Slots(1),
+    }
+}
+
+fn pool(domains: &[(&str, usize)]) -> Vec<Endpoint> {
+    let each = domains.iter().flat_map(|(domain, count)| {
+        (0..*count).map(move |it| endpoint(&format!("{domain}{it}"), domain))
+    });
+    each.collect()
+}
+
+fn stage(after: &[usize]) -> RelayStage {
+    let pool = "p".parse().expect("a name");
+    RelayStage { pool, after: after.to_vec(), size: Bytes(1) }
+}
+
+#[test]
+fn what_runs_once_is_never_sent_again_once_it_may_have_run() {
+    for ended in [Ended::Unknown, Ended::Failed] {
+        for repeat in [Repeat::Once, Repeat::Stream] {
+            let mut attempts = Attempts::new(&route(repeat, 3));
+            attempts.send();
+            assert_ne!(attempts.end(ended), Next::Retry);
+            assert!(attempts.has_begun());
+        }
+    }
+}
+
+#[test]
+fn a_refusal_is_told_only_while_nothing_may_have_run() {
+    let mut attempts = Attempts::new(&route(Repeat::Idempotent, 2));
+    attempts.send();
+    assert_eq!(attempts.end(Ended::NotRun), Next::Retry);
+    attempts.send();
+    assert_eq!(attempts.end(Ended::Unknown), Next::Retry);
+    attempts.send();
+    assert_eq!(attempts.give_up(Ended::NotRun), Next::Fail);
+}
+
+#[test]
+fn an_attempt_runs_on_no_more_endpoints_than_allowed() {
+    let mut attempts = Attempts::new(&route(Repeat::Idempotent, 2));
+    attempts.send();
+    assert_eq!(attempts.end(Ended::Failed), Next::Retry);
+    attempts.send();
+    assert_eq!(attempts.end(Ended::Failed), Next::Pass);
+}
+
+#[test]
+fn endless_refusals_end() {
+    let mut attempts = Attempts::new(&route(Repeat::Once, 1));
+    let sends = (0..100).take_while(|_| {
+        attempts.send();
+        attempts.end(Ended::NotRun) == Next::Retry
+    });
+    assert!(sends.count() < 10);
+}
+
+#[test]
+fn requests_that_share_a_prompt_go_to_the_same_endpoint() {
+    let endpoints = pool(&[("a", 4), ("b", 4)]);
+    let all: Vec<&Endpoint> = endpoints.iter().collect();
+    let wish = Wish { affinity: Some(b"part"), ..Wish::default() };
+
+    let chosen: Vec<EndpointName> = (0..5)
+        .map(|seed| Placer::new(seed).choose(START, &all, &wish).expect("one").name.clone())
+        .collect();
+
+    assert!(chosen.iter().all(|it| *it == chosen[0]), "{chosen:?}");
+}
+
+#[test]
+fn a_hot_part_spreads_once_its_endpoint_has_much_more_than_others() {
+    let endpoints = pool(&[("a", 4)]);
+    let all: Vec<&Endpoint> = endpoints.iter().collect();
+    let wish = Wish { affinity: Some(b"part"), ..Wish::default() };
+    let mut placer = Placer::new(1);
+    let mut counts: HashMap<EndpointName, u32> = HashMap::new();
+
+    for _ in 0..40 {
+        let name = placer.choose(START, &all, &wish).expect("one").name.clone();
+        placer.begin(&name);
+        *counts.entry(name).or_default() += 1;
+    }
+
+    assert!(counts.len() >= 3, "{counts:?}");
+    assert!(counts.values().all(|it| *it <= 16), "{counts:?}");
+}
+
+#[test]
+fn an_endpoint_that_failed_is_avoided_and_tried_again_later() {
+    let endpoints = pool(&[("a", 2)]);
+    let all: Vec<&Endpoint> = endpoints.iter().collect();
+    let mut placer = Placer::new(1);
+    let failed = all[0].name.clone();
+
+    let pause = placer.failed(START, &failed);
+
+    for _ in 0..20 {
+        let chosen = placer.choose(START, &all, &Wish::default()).expect("one");
+        assert_ne!(chosen.name, failed);
+    }
+    let later = START + pause + Millis(1);
+    let chosen = (0..50).filter_map(|_| placer.choose(later, &all, &Wish::default()));
+    assert!(chosen.map(|it| it.name.clone()).any(|it| it == failed));
+    assert!(placer.failed(later, &failed) > pause);
+}
+
+#[test]
+fn an_avoided_endpoint_is_better_than_none() {
+    let endpoints = pool(&[("a", 1)]);
+    let all: Vec<&Endpoint> = endpoints.iter().collect();
+    let mut placer = Placer::new(1);
+
+    placer.failed(START, &all[0].name);
+
+    assert!(placer.choose(START, &all, &Wish::default()).is_some());
+    let tried = [all[0].name.clone()];
+    let wish = Wish { tried: &tried, ..Wish::default() };
+    assert!(placer.choose(START, &all, &wish).is_none(), "it was tried already");
+}
+
+#[test]
+fn subjects_prefer_domains_by_what_these_hold_of_every_pool() {
+    let (first, second) = (pool(&[("a", 2), ("b", 2), ("c", 1)]), pool(&[("a", 4), ("b", 4)]));
+    let mut counts: HashMap<String, u32> = HashMap::new();
+
+    for subject in 0..1000_u32 {
+        let domain = home(&subject.to_be_bytes(), &[&first, &second]).expect("a domain");
+        *counts.entry(domain.to_string()).or_default() += 1;
+    }
+
+    assert_eq!(counts.len(), 2, "c lacks a pool: {counts:?}");
+    assert!(counts.values().all(|it| (400..600).contains(it)), "{counts:?}");
+}
+
+#[test]
+fn few_subjects_move_when_a_domain_goes() {
+    let (before, after) = (pool(&[("a", 1), ("b", 1), ("c", 1)]), pool(&[("a", 1), ("b", 1)]));
+
+    let moved = (0..900_u32).filter(|subject| {
+        let subject = subject.to_be_bytes();
+        let old = home(&subject, &[&before]).expect("a domain");
+        old.as_str() != "c" && Some(old) != home(&subject, &[&after])
+    });
+
+    assert_eq!(moved.count(), 0);
+}
+
+#[test]
+fn a_short_stage_waits_for_the_long_chain_that_it_ends_with() {
+    let stages = [stage(&[]), stage(&[]), stage(&[1]), stage(&[2])];
+    let times = vec![Millis(230), Millis(200), Millis(240), Millis(250)];
+    let plan = Plan::new(&stages, times);
+    let (waits, runs, done) = (Progress::Waiting, Progress::Running, Progress::Done);
+
+    assert_eq!(plan.due(&[waits; 4]), [1]);
+    assert_eq!(plan.due(&[waits, done, waits, waits]), [2]);
+    assert_eq!(plan.due(&[waits, done, done, waits]), [0, 3]);
+    assert_eq!(plan.due(&[runs, done, done, runs]), [0; 0]);
+    assert_eq!(plan.tail(1), Millis(490));
+}
+
+#[test]
+fn reports_of_queues_age() {
+    let mut outlook = Outlook::default();
+    let pool = "p".parse().expect("a name");
+
+    outlook.report(START, &pool, 1, Millis(300));
+
+    assert_eq!(outlook.wait(START + Millis(500), &pool, 1), Millis(300));
+    assert_eq!(outlook.wait(START + Millis(500), &pool, 0), Millis(0));
+    assert_eq!(outlook.wait(START + Millis(5000), &pool, 1), Millis(0));
+}
+
+#[test]
+fn instances_agree_on_who_gathers_and_a_restart_changes_nothing() {
+    let member = |id: u64, port: u16, disk: bool| Member {
+        id: NodeId(id),
+        name: format!("n{id}").parse().expect("a name"),
+        domain: "d".parse().expect("a name"),
+        peer: ([127, 0, 0, 1], port).into(),
+        incarnation: Incarnation(1),
+        disk,
+    };
+    let tables = |members: Vec<Member>| Tables {
+        roster: members.into_iter().map(|it| (it.id, it)).collect(),
+        ..Tables::default()
+    };
+    let pool = "p".parse().expect("a name");
+
+    let one = tables(vec![member(1, 1, false), member(2, 2, false), member(3, 3, true)]);
+    let restarted = tables(vec![
+        member(3, 3, true),
+        member(9, 2, false),
+        member(1, 1, false),
+        member(2, 2, false),
+    ]);
+
+    assert_eq!(holders(&one, &pool), holders(&restarted, &pool));
+    assert_eq!(holders(&one, &pool).len(), 2, "instances with a disk don't relay here");
+}
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -98,9 +98,11 @@
     let service = service_fn(move |request| answer(relay.clone(), request));
     let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
     // How each request ended is logged with the request.
-    tokio::select! {
-        _ = &mut connection => return,
-        () = relayed.closed() => connection.as_mut().graceful_shutdown(),
+    if relayed.phase() < Phase::Closed {
+        tokio::select! {
+            _ = &mut connection => return,
+            () = relayed.closed() => connection.as_mut().graceful_shutdown(),
+        }
     }
     let _ = connection.await;
 }
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -101,6 +101,7 @@
             bounds: settings.bounds,
             start,
         });
+        relay.gatherers.reload(&relay.view());
         tokio::task::spawn_local(relay.clone().follow(tables));
         tokio::task::spawn_local(relay.gatherers.clone().serve(asked));
         tokio::task::spawn_local(relay.clone().sweep());
--- /dev/null
+++ b/crates/daemon/tests/relay.rs
@@ -0,0 +1,387 @@
+//! What the relay passes on, and what it makes of endpoints that misbehave.
+
+mod relaying;
+
+use {
+    coord::{
+        catalog::Repeat,
+        ids::CatalogVersion,
+        tables::{Endpoint, EndpointState, Tables},
+    },
+    daemon::relay::Phase,
+    relaying::{
+        answer, call, catalog, connect, endpoint, exchange, good, read_answer, request, route,
+        scripted, sound, stage, start, unrun, with_team,
+    },
+    standin::{Scripted, Step},
+    std::{
+        io::Write,
+        sync::Arc,
+        thread::sleep,
+        time::{Duration, Instant},
+    },
+};
+
+fn one(backend: &Scripted) -> Vec<Endpoint> {
+    vec![endpoint("e", "app", backend.addr)]
+}
+
+#[test]
+fn only_what_is_the_callers_own_is_passed_on() {
+    let backend = sound("fine");
+    let relay = start(with_team(catalog(route(Repeat::Once)), "t", "secret"), &one(&backend));
+    let headers = "authorization: Bearer secret\r\nmangobend-team: forged\r\n\
+                   mangobend-endpoint: forged\r\nmangobend-inputs: forged\r\n\
+                   connection: x-hop\r\nx-hop: 1\r\nkeep-alive: timeout=9\r\nte: trailers\r\n\
+                   x-own: kept\r\n";
+    let body = "GET /a/smuggled HTTP/1.1\r\nhost: app.example\r\n\r\n";
+
+    let got = call(&relay, &request("id1", headers, body));
+
+    assert_eq!((got.status, got.text().as_str()), (200, "fine"));
+    let seen = backend.seen();
+    assert_eq!(seen.len(), 1, "nothing was smuggled");
+    assert!(seen[0].head.starts_with("POST /a/x?q=1 HTTP/1.1\r\n"), "{}", seen[0].head);
+    assert_eq!(seen[0].body, body.as_bytes());
+    assert_eq!(seen[0].header("mangobend-team"), Some("t"));
+    assert_eq!(seen[0].header("mangobend-endpoint"), Some("e"));
+    assert_eq!(seen[0].header("x-own"), Some("kept"));
+    for gone in ["authorization", "mangobend-inputs", "x-hop", "keep-alive", "te"] {
+        assert_eq!(seen[0].header(gone), None, "{gone}");
+    }
+}
+
+#[test]
+fn an_unknown_key_or_place_is_refused_without_a_run() {
+    let backend = sound("fine");
+    let relay = start(with_team(catalog(route(Repeat::Once)), "t", "secret"), &one(&backend));
+    let elsewhere = request("id2", "authorization: Bearer secret\r\n", "").replace("/a/", "/b/");
+
+    let unknown = call(&relay, &request("id1", "authorization: Bearer wrong\r\n", ""));
+    let nowhere = call(&relay, &elsewhere);
+
+    assert_eq!((unknown.status, nowhere.status), (401, 404));
+    assert!(backend.seen().is_empty());
+}
+
+#[test]
+fn what_is_left_of_the_time_is_passed_on() {
+    let backend = sound("fine");
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+
+    call(&relay, &request("id1", "", ""));
+
+    let told = backend.seen()[0].header("mangobend-deadline-ms").map(str::to_owned);
+    let told: u64 = told.and_then(|it| it.parse().ok()).expect("a number");
+    assert!((1000..2000).contains(&told), "{told}");
+}
+
+#[test]
+fn a_success_that_is_not_signed_is_not_passed_on() {
+    let backend = scripted(|seen, _| {
+        let id = seen.header("mangobend-request").unwrap_or_default();
+        let text =
+            format!("HTTP/1.1 200 OK\r\nmangobend-request: {id}\r\ncontent-length: 2\r\n\r\nno");
+        vec![Step::Send(text.into_bytes())]
+    });
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+
+    let got = call(&relay, &request("id1", "", ""));
+
+    assert_eq!(got.status, 502);
+    assert_ne!(got.text(), "no");
+}
+
+#[test]
+fn an_answer_to_another_request_is_not_passed_on() {
+    let backend = scripted(|_, _| {
+        let text = "HTTP/1.1 200 OK\r\nmangobend-request: other\r\nmangobend-signature: s\r\n\
+                    content-length: 2\r\n\r\nno";
+        vec![Step::Send(text.into())]
+    });
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+
+    let got = call(&relay, &request("id1", "", ""));
+
+    assert_eq!(got.status, 502);
+}
+
+#[test]
+fn bytes_behind_a_whole_answer_reach_nobody() {
+    let backend = scripted(|seen, _| {
+        let mut bytes = good(seen, "first");
+        bytes.extend(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra");
+        vec![Step::Send(bytes)]
+    });
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+
+    let answers: Vec<String> =
+        (0..4).map(|it| call(&relay, &request(&format!("id{it}"), "", "")).text()).collect();
+
+    assert_eq!(answers, ["first"; 4]);
+}
+
+#[test]
+fn an_answer_that_breaks_off_does_not_look_whole() {
+    let backend = scripted(|seen, _| {
+        let head = "transfer-encoding: chunked\r\n";
+        let part = answer(seen, "200 OK", head, "5\r\nevent\r\n");
+        vec![Step::Send(part), Step::Wait(Duration::from_millis(50)), Step::Close]
+    });
+    let relay = start(catalog(route(Repeat::Stream)), &one(&backend));
+
+    let got = call(&relay, &request("id1", "", ""));
+
+    assert_eq!(got.status, 200);
+    assert!(got.text().contains("event"));
+    assert!(!got.whole, "{}", got.text());
+}
+
+#[test]
+fn an_answer_without_length_that_is_reset_is_not_a_success() {
+    let backend = scripted(|seen, _| {
+        let part = answer(seen, "200 OK", "connection: close\r\n", "part");
+        vec![Step::Send(part), Step::Wait(Duration::from_millis(50)), Step::Reset]
+    });
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+
+    let got = call(&relay, &request("id1", "", ""));
+
+    assert_eq!(got.status, 502);
+}
+
+#[test]
+fn a_connection_with_an_early_answer_is_not_used_again() {
+    let backend = scripted(|seen, number| match number {
+        0 => vec![Step::Early, Step::Send(answer(seen, "413 Large", "content-length: 0\r\n", ""))],
+        _ => vec![Step::Send(good(seen, "fine"))],
+    });
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+    let large = "x".repeat(3 << 20);
+
+    let first = call(&relay, &request("id1", "", &large));
+    let second = call(&relay, &request("id2", "", "small"));
+
+    assert_eq!(first.status, 413);
+    assert_eq!(second.text(), "fine");
+    let last = backend.seen().pop().expect("a request");
+    assert_eq!((last.header("mangobend-request"), &last.body[..]), (Some("id2"), &b"small"[..]));
+}
+
+#[test]
+fn a_refusal_says_not_run_only_on_the_endpoints_own_word() {
+    let silent =
+        scripted(|_, _| vec![Step::Send(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".into())]);
+    let honest = scripted(|_, _| vec![Step::Send(unrun("503 Busy"))]);
+    let unsure = start(catalog(route(Repeat::Once)), &one(&silent));
+    let sure = start(catalog(route(Repeat::Once)), &one(&honest));
+
+    let unknown = call(&unsure, &request("id1", "", ""));
+    let refused = call(&sure, &request("id1", "", ""));
+
+    assert_eq!((unknown.status, refused.status), (502, 503));
+    assert!(refused.header("retry-after").is_some());
+}
+
+#[test]
+fn what_runs_once_is_not_sent_again_when_its_outcome_is_unknown() {
+    let broken = scripted(|_, _| vec![Step::Close]);
+    let other = sound("again");
+    let endpoints = [endpoint("a", "app", broken.addr), endpoint("b", "app", other.addr)];
+    let relay = start(catalog(route(Repeat::Once)), &endpoints);
+
+    let answers: Vec<u16> =
+        (0..8).map(|it| call(&relay, &request(&format!("id{it}"), "", "")).status).collect();
+
+    let sent = broken.seen().len() + other.seen().len();
+    assert_eq!(sent, 8, "each is sent once");
+    assert_eq!(answers.iter().filter(|it| **it == 502).count(), broken.seen().len());
+}
+
+#[test]
+fn what_may_be_repeated_goes_to_another_endpoint() {
+    let broken = scripted(|_, _| vec![Step::Close]);
+    let other = sound("again");
+    let endpoints = [endpoint("a", "app", broken.addr), endpoint("b", "app", other.addr)];
+    let relay = start(catalog(route(Repeat::Idempotent)), &endpoints);
+
+    let answers: Vec<u16> =
+        (0..8).map(|it| call(&relay, &request(&format!("id{it}"), "", "")).status).collect();
+
+    assert_eq!(answers, [200; 8]);
+}
+
+#[test]
+fn an_idle_connection_that_the_endpoint_closes_costs_nothing() {
+    let backend = scripted(|seen, _| {
+        let head = "keep-alive: timeout=2\r\ncontent-length: 4\r\n";
+        let pause = Step::Wait(Duration::from_millis(300));
+        vec![Step::Send(answer(seen, "200 OK", head, "fine")), pause, Step::Close]
+    });
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+
+    for number in 0..3 {
+        let got = call(&relay, &request(&format!("id{number}"), "", ""));
+        assert_eq!(got.status, 200);
+        sleep(Duration::from_millis(500));
+    }
+
+    assert_eq!(backend.seen().len(), 3);
+}
+
+#[test]
+fn work_ends_when_its_caller_leaves() {
+    let backend = scripted(|seen, _| {
+        let head = "transfer-encoding: chunked\r\n";
+        let part = answer(seen, "200 OK", head, "5\r\nevent\r\n");
+        vec![Step::Send(part), Step::Wait(Duration::from_secs(5))]
+    });
+    let relay = start(catalog(route(Repeat::Stream)), &one(&backend));
+    let mut caller = connect(&relay);
+    caller.write_all(request("id1", "", "").as_bytes()).expect("the relay reads");
+    sleep(Duration::from_millis(300));
+
+    let left = Instant::now();
+    drop(caller);
+    sleep(Duration::from_millis(450));
+
+    let noticed = backend.left();
+    assert_eq!(noticed.len(), 1, "the endpoint's connection has ended");
+    assert!(noticed[0] >= left);
+}
+
+#[test]
+fn work_ends_when_its_caller_leaves_before_the_answer() {
+    let backend = scripted(|_, _| vec![Step::Wait(Duration::from_secs(5))]);
+    let relay = start(catalog(route(Repeat::Idempotent)), &one(&backend));
+    let mut caller = connect(&relay);
+    caller.write_all(request("id1", "", "").as_bytes()).expect("the relay reads");
+    sleep(Duration::from_millis(300));
+
+    drop(caller);
+    sleep(Duration::from_millis(450));
+
+    assert_eq!(backend.left().len(), 1);
+    assert_eq!(relay.relayed.held(), 0);
+}
+
+#[test]
+fn the_routes_time_ends_a_request() {
+    let backend = scripted(|_, _| vec![Step::Wait(Duration::from_secs(5))]);
+    let mut slow = route(Repeat::Once);
+    slow.timeout = coord::time::Millis(400);
+    let relay = start(catalog(slow), &one(&backend));
+
+    let began = Instant::now();
+    let got = call(&relay, &request("id1", "", ""));
+
+    assert_eq!(got.status, 504);
+    let took = began.elapsed();
+    assert!(took >= Duration::from_millis(400) && took < Duration::from_millis(900), "{took:?}");
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_new() {
+    let backend = sound("fine");
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+    assert_eq!(call(&relay, &request("id1", "", "")).status, 200);
+
+    let mut tables = Tables::clone(&relay.tables.borrow());
+    tables.endpoints[0].state = EndpointState::Leaving;
+    relay.tables.send_replace(Arc::new(tables));
+    sleep(Duration::from_millis(100));
+
+    assert_eq!(call(&relay, &request("id2", "", "")).status, 503);
+    assert_eq!(backend.seen().len(), 1);
+}
+
+#[test]
+fn a_new_catalog_is_in_force_at_once() {
+    let backend = sound("fine");
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+    let mut moved = route(Repeat::Once);
+    moved.prefix = "/b/".to_owned();
+    let mut next = catalog(moved);
+    next.version = CatalogVersion(2);
+
+    let mut tables = Tables::clone(&relay.tables.borrow());
+    tables.catalog = Arc::new(next);
+    relay.tables.send_replace(Arc::new(tables));
+    sleep(Duration::from_millis(100));
+
+    assert_eq!(call(&relay, &request("id1", "", "")).status, 404);
+    assert_eq!(call(&relay, &request("id2", "", "").replace("/a/", "/b/")).status, 200);
+}
+
+#[test]
+fn a_stop_serves_what_comes_until_its_notice_and_nothing_new_behind_it() {
+    let backend = sound("fine");
+    let relay = start(catalog(route(Repeat::Once)), &one(&backend));
+    let mut kept = connect(&relay);
+    assert_eq!(exchange(&mut kept, &request("id1", "", "")).status, 200);
+
+    relay.relayed.enter(Phase::Leaving);
+    let leaving = exchange(&mut kept, &request("id2", "", ""));
+    let mut idle = connect(&relay);
+    assert_eq!(exchange(&mut idle, &request("id3", "", "")).status, 200);
+    relay.relayed.enter(Phase::Closed);
+    let closed = call(&relay, &request("id4", "", ""));
+
+    assert_eq!((leaving.status, leaving.header("connection")), (200, Some("close")));
+    assert_eq!((closed.status, closed.header("retry-after")), (503, Some("0.00")));
+    assert!(!read_answer(&mut idle).whole, "the idle connection has ended");
+    assert_eq!(backend.seen().len(), 3);
+}
+
+#[test]
+fn stages_run_before_the_request_and_their_results_are_freed() {
+    let pieces = scripted(|seen, _| {
+        let text = String::from_utf8_lossy(&seen.body).into_owned();
+        let count = text.matches("\"number\"").count();
+        let results: Vec<String> =
+            (0..count).map(|it| format!("{{\"Ok\":\"h{}-{it}\"}}", seen.connection)).collect();
+        let body = match seen.head.contains("/v1/pieces/free") {
+            true => "{}".to_owned(),
+            false => format!("{{\"results\":[{}]}}", results.join(",")),
+        };
+        vec![Step::Send(good(seen, &body))]
+    });
+    let backend = sound("fine");
+    let mut staged = route(Repeat::Stream);
+    staged.stages = vec![stage(&[]), stage(&[0])];
+    let endpoints = [endpoint("e", "app", backend.addr), endpoint("s", "stage", pieces.addr)];
+    let relay = start(catalog(staged), &endpoints);
+
+    let headers = "mangobend-pieces: 2,3\r\nmangobend-source: doc\r\n";
+    let got = call(&relay, &request("id1", headers, ""));
+    sleep(Duration::from_millis(300));
+
+    assert_eq!(got.status, 200, "{}", got.text());
+    let inputs = backend.seen()[0].header("mangobend-inputs").map(str::to_owned);
+    assert_eq!(inputs.expect("the results").split(',').count(), 3);
+    let calls: Vec<String> =
+        pieces.seen().iter().map(|it| String::from_utf8_lossy(&it.body).into_owned()).collect();
+    assert!(calls[0].contains("\"source\":\"doc\""), "{calls:?}");
+    assert!(calls[1].contains("\"results\":["), "{calls:?}");
+    let freed: usize = calls[2..].iter().map(|it| it.matches("\"h").count()).sum();
+    assert_eq!(freed, 5, "{calls:?}");
+}
+
+#[test]
+fn stages_that_cannot_be_done_in_time_are_refused_at_once() {
+    let pieces = scripted(|_, _| vec![Step::Wait(Duration::from_secs(5))]);
+    let backend = sound("fine");
+    let mut staged = route(Repeat::Stream);
+    staged.stages = vec![stage(&[])];
+    let endpoints = [endpoint("e", "app", backend.addr), endpoint("s", "stage", pieces.addr)];
+    let relay = start(catalog(staged), &endpoints);
+    let short = request("id1", "mangobend-pieces: 1\r\n", "").replace("ms: 2000", "ms: 150");
+
+    let began = Instant::now();
+    let got = call(&relay, &short);
+
+    assert_eq!(got.status, 503);
+    assert!(got.header("retry-after").is_some());
+    assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
+    assert!(backend.seen().is_empty());
+}
--- /dev/null
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -0,0 +1,263 @@
+//! A relay in this process, scripted endpoints behind it, and callers that see
+//! each byte.
+
+use {
+    coord::{
+        catalog::{
+            ApiKey, BatchTerms, Catalog, CatalogLimits, ColdBound, RelayRoute, RelayStage, Repeat,
+            Service, Split, TeamEntry,
+        },
+        ids::{Bytes, CatalogVersion, Generation, Incarnation, NodeId, Slots},
+        tables::{Endpoint, EndpointState, Member, Tables},
+        time::Millis,
+    },
+    daemon::relay::{Relay, RelayContext, RelaySettings, Relayed, serve},
+    standin::{Script, Scripted, Seen, Step, header},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::Arc,
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc::unbounded_channel, watch},
+        task::LocalSet,
+    },
+};
+
+/// Longer than anything here takes.
+pub const WIDE: Duration = Duration::from_secs(10);
+
+/// A running relay.
+pub struct Fixture {
+    pub addr: SocketAddr,
+    pub relayed: Arc<Relayed>,
+    pub tables: watch::Sender<Arc<Tables>>,
+}
+
+/// An answer as it came.
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body ended as its framing says.
+    pub whole: bool,
+}
+
+/// A route to pool `app` that needs no key.
+pub fn route(repeat: Repeat) -> RelayRoute {
+    RelayRoute {
+        name: "r".parse().expect("a name"),
+        host: "app.example".to_owned(),
+        prefix: "/a/".to_owned(),
+        repeat,
+        timeout: Millis(3000),
+        target: Millis(300),
+        priority: 1,
+        split: vec![Split { pool: "app".parse().expect("a name"), weight: 1 }],
+        attempts: 2,
+        stages: Vec::new(),
+        public: false,
+        sticky: false,
+        pause: None,
+    }
+}
+
+/// A catalog with one route and the services `app` and `stage`.
+pub fn catalog(route: RelayRoute) -> Catalog {
+    let batch = BatchTerms {
+        slots: Slots(1),
+        waiting: 1,
+        pieces: 4,
+        call: Millis(50),
+        piece_us: 10_000,
+        room: Bytes(1 << 20),
+        keeps: Millis(4000),
+    };
+    let service = |batch| Service {
+        health: "/healthz".to_owned(),
+        connections: 100,
+        cold: ColdBound::default(),
+        engine: None,
+        batch,
+    };
+    Catalog {
+        version: CatalogVersion(1),
+        routes: vec![route],
+        services: [
+            ("app".parse().expect("a name"), service(None)),
+            ("stage".parse().expect("a name"), service(Some(batch))),
+        ]
+        .into_iter()
+        .collect(),
+        teams: Default::default(),
+        limits: CatalogLimits::default(),
+    }
+}
+
+/// A stage of pool `stage` that needs the given ones.
+pub fn stage(after: &[usize]) -> RelayStage {
+    RelayStage { pool: "stage".parse().expect("a name"), after: after.to_vec(), size: Bytes(1000) }
+}
+
+/// Gives a catalog a team with one key.
+pub fn with_team(mut catalog: Catalog, team: &str, key: &str) -> Catalog {
+    let entry = TeamEntry { keys: vec![ApiKey(key.to_owned())], priority: None };
+    catalog.teams.insert(team.parse().expect("a name"), entry);
+    catalog
+}
+
+/// An endpoint of a pool at an address.
+pub fn endpoint(name: &str, pool: &str, addr: SocketAddr) -> Endpoint {
+    Endpoint {
+        name: name.parse().expect("a name"),
+        pool: pool.parse().expect("a name"),
+        domain: "d".parse().expect("a name"),
+        addr,
+        generation: Generation(1),
+        state: EndpointState::Warm,
+        slots: Slots(8),
+        cold_slots: Slots(1),
+    }
+}
+
+/// Starts a relay before endpoints.
+pub fn start(catalog: Catalog, endpoints: &[Endpoint]) -> Fixture {
+    let mut tables = Tables { catalog: Arc::new(catalog), ..Tables::default() };
+    tables.endpoints = endpoints.iter().map(|it| (it.name.clone(), it.clone())).collect();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("a listener can be non-blocking");
+    let addr = listener.local_addr().expect("a bound listener has an address");
+    let member = Member {
+        id: NodeId(1),
+        name: "a".parse().expect("a name"),
+        domain: "d".parse().expect("a name"),
+        peer: addr,
+        incarnation: Incarnation(1),
+        disk: false,
+    };
+    tables.roster.insert(member.id, member);
+    let (tables, followed) = watch::channel(Arc::new(tables));
+    let relayed = Arc::new(Relayed::default());
+    let shared = relayed.clone();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("the runtime starts");
+        LocalSet::new().block_on(&runtime, async move {
+            let (_gatherers, asked) = unbounded_channel();
+            let relay = Relay::start(RelayContext {
+                settings: RelaySettings::new(addr),
+                tables: followed,
+                asked,
+                relayed: shared,
+                peer: addr,
+                secret: "".into(),
+            });
+            serve(relay, listener, None).await;
+        });
+    });
+    Fixture { addr, relayed, tables }
+}
+
+/// An endpoint that answers each request with a body.
+pub fn sound(body: &'static str) -> Scripted {
+    scripted(move |seen, _| vec![Step::Send(good(seen, body))])
+}
+
+/// An endpoint that follows a script.
+pub fn scripted(script: impl Fn(&Seen, usize) -> Vec<Step> + Send + Sync + 'static) -> Scripted {
+    let script: Script = Box::new(script);
+    Scripted::start(script)
+}
+
+/// A proper whole answer to a request.
+pub fn good(seen: &Seen, body: &str) -> Vec<u8> {
+    answer(seen, "200 OK", &format!("content-length: {}\r\n", body.len()), body)
+}
+
+/// An answer that echoes the request and is signed.
+pub fn answer(seen: &Seen, status: &str, headers: &str, body: &str) -> Vec<u8> {
+    let id = seen.header("mangobend-request").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 {status}\r\nmangobend-request: {id}\r\nmangobend-signature: s\r\n{headers}\r\n"
+    );
+    (head + body).into_bytes()
+}
+
+/// An endpoint's word that it has not run a request.
+pub fn unrun(status: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status}\r\nmangobend-not-run: 1\r\ncontent-length: 0\r\n\r\n").into_bytes()
+}
+
+/// A request to the route, with an id and more header lines.
+pub fn request(id: &str, headers: &str, body: &str) -> String {
+    format!(
+        "POST /a/x?q=1 HTTP/1.1\r\nhost: app.example\r\nmangobend-request: {id}\r\n\
+         mangobend-deadline-ms: 2000\r\ncontent-length: {}\r\n{headers}\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends a request on a connection of its own and reads the answer.
+pub fn call(relay: &Fixture, request: &str) -> Got {
+    exchange(&mut connect(relay), request)
+}
+
+/// A caller's connection.
+pub fn connect(relay: &Fixture) -> TcpStream {
+    let stream = TcpStream::connect(relay.addr).expect("the relay listens");
+    stream.set_read_timeout(Some(WIDE)).expect("a time-out can be set");
+    stream
+}
+
+/// Sends a request and reads the answer.
+pub fn exchange(stream: &mut TcpStream, request: &str) -> Got {
+    stream.write_all(request.as_bytes()).expect("the relay reads");
+    read_answer(stream)
+}
+
+/// Reads an answer to its end or the connection's.
+pub fn read_answer(stream: &mut TcpStream) -> Got {
+    let mut bytes = Vec::new();
+    while !bytes.windows(4).any(|it| it == b"\r\n\r\n") {
+        if !read_more(stream, &mut bytes) {
+            return Got { status: 0, head: String::new(), body: bytes, whole: false };
+        }
+    }
+    let end = bytes.windows(4).position(|it| it == b"\r\n\r\n").expect("a head") + 4;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut body = bytes.split_off(end);
+    let status = head.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
+    let length = header(&head, "content-length").and_then(|it| it.parse::<usize>().ok());
+    let is_whole = |body: &[u8]| match length {
+        Some(length) => body.len() >= length,
+        None => body.ends_with(b"0\r\n\r\n"),
+    };
+    while !is_whole(&body) && read_more(stream, &mut body) {}
+    let whole = is_whole(&body);
+    Got { status, head, body, whole }
+}
+
+fn read_more(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> bool {
+    let mut buffer = [0; 4096];
+    match stream.read(&mut buffer) {
+        Ok(count) if count > 0 => {
+            bytes.extend_from_slice(&buffer[..count]);
+            true
+        }
+        _ => false,
+    }
+}
+
+impl Got {
+    /// The value of a header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 mod control;
 mod endpoint;
 mod record;
+mod scripted;
 mod server;
 mod spec;
 
@@ -12,5 +13,6 @@
 pub use {
     control::Control,
     record::{Record, RunRecord},
+    scripted::{Script, Scripted, Seen, Step, header},
     spec::{EndpointSpec, Kind},
 };
--- /dev/null
+++ b/crates/standin/src/scripted.rs
@@ -0,0 +1,205 @@
+//! An endpoint of relayed requests that follows a script byte by byte, so that
+//! it can misbehave in any way.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// How long a connection waits for bytes before it looks whether to end.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What the endpoint does with a request, in order.
+#[derive(Debug, Clone)]
+pub enum Step {
+    Send(Vec<u8>),
+    Wait(Duration),
+    /// Ends the connection.
+    Close,
+    /// Ends the connection with a reset.
+    Reset,
+    /// Goes on without having read the body.
+    Early,
+}
+
+/// A request as it arrived.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// The number of the connection, in the order of accepting.
+    pub connection: usize,
+    pub head: String,
+    pub body: Vec<u8>,
+    pub at: Instant,
+}
+
+/// Answers a request. The second argument counts requests from 0.
+pub type Script = Box<dyn Fn(&Seen, usize) -> Vec<Step> + Send + Sync>;
+
+/// A running scripted endpoint.
+pub struct Scripted {
+    pub addr: SocketAddr,
+    state: Arc<State>,
+}
+
+struct State {
+    script: Script,
+    seen: Mutex<Vec<Seen>>,
+    /// When connections were found closed by the other side.
+    left: Mutex<Vec<Instant>>,
+}
+
+impl Scripted {
+    /// Starts an endpoint on a free port of the loopback address.
+    pub fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("a bound listener has an address");
+        let state = Arc::new(State { script, seen: Mutex::default(), left: Mutex::default() });
+        let shared = state.clone();
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                let state = shared.clone();
+                thread::spawn(move || state.serve(number, stream));
+            }
+        });
+        Self { addr, state }
+    }
+
+    /// The requests that arrived so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        lock(&self.state.seen).clone()
+    }
+
+    /// When connections were found closed by the other side.
+    pub fn left(&self) -> Vec<Instant> {
+        lock(&self.state.left).clone()
+    }
+}
+
+impl Seen {
+    /// The value of a header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+}
+
+impl State {
+    fn serve(&self, connection: usize, mut stream: TcpStream) {
+        stream.set_read_timeout(Some(LOOK)).expect("a time-out can be set");
+        let mut buffer = Vec::new();
+        while let Some(head) = self.read_head(&mut stream, &mut buffer) {
+            let mut seen = Seen { connection, head, body: Vec::new(), at: Instant::now() };
+            let number = lock(&self.seen).len();
+            let length = seen.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+            let early = matches!((self.script)(&seen, number).first(), Some(Step::Early));
+            if !early && !self.fill(&mut stream, &mut buffer, length) {
+                return;
+            }
+            if !early {
+                seen.body = buffer.drain(..length).collect();
+            }
+            let steps = (self.script)(&seen, number);
+            lock(&self.seen).push(seen);
+            for step in steps {
+                if !self.take(step, &mut stream) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Carries out a step; false if the connection has ended.
+    fn take(&self, step: Step, stream: &mut TcpStream) -> bool {
+        match step {
+            Step::Send(bytes) => stream.write_all(&bytes).is_ok(),
+            Step::Wait(time) => self.wait(stream, time),
+            Step::Early => true,
+            Step::Close => {
+                let _ = stream.shutdown(Shutdown::Both);
+                false
+            }
+            Step::Reset => {
+                let socket = socket2::SockRef::from(&*stream);
+                socket.set_linger(Some(Duration::ZERO)).expect("the option can be set");
+                false
+            }
+        }
+    }
+
+    /// Waits, and notices meanwhile when the other side leaves.
+    fn wait(&self, stream: &TcpStream, time: Duration) -> bool {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let mut byte = [0];
+            match stream.peek(&mut byte) {
+                Ok(0) => {
+                    lock(&self.left).push(Instant::now());
+                    return false;
+                }
+                Ok(_) => thread::sleep(LOOK),
+                Err(err) if is_pause(&err) => {}
+                Err(_) => {
+                    lock(&self.left).push(Instant::now());
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    fn read_head(&self, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+        loop {
+            if let Some(end) = buffer.windows(4).position(|it| it == b"\r\n\r\n") {
+                let head: Vec<u8> = buffer.drain(..end + 4).collect();
+                return Some(String::from_utf8_lossy(&head).into_owned());
+            }
+            if !self.read_more(stream, buffer) {
+                return None;
+            }
+        }
+    }
+
+    fn fill(&self, stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> bool {
+        while buffer.len() < length {
+            if !self.read_more(stream, buffer) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn read_more(&self, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+        let mut bytes = [0; 16 * 1024];
+        loop {
+            match stream.read(&mut bytes) {
+                Ok(0) => {
+                    lock(&self.left).push(Instant::now());
+                    return false;
+                }
+                Ok(count) => {
+                    buffer.extend_from_slice(&bytes[..count]);
+                    return true;
+                }
+                Err(err) if is_pause(&err) => {}
+                Err(_) => return false,
+            }
+        }
+    }
+}
+
+/// The value of a header in a head, by its name in lower case.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let lines = head.lines().filter_map(|it| it.split_once(':'));
+    let mut found = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    found.next().map(|(_, value)| value.trim())
+}
+
+fn is_pause(err: &std::io::Error) -> bool {
+    matches!(err.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no thread panics while it holds the lock")
+}
