Refuse a request whose input is gone instead of sending it on

Change: such a request is refused as not run at once.

Test: `a_request_whose_input_is_gone_…` fails without the change.

--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -46,6 +46,8 @@
     Failed(Parts, Bytes),
     /// The endpoint says that it has not run the request.
     Unrun,
+    /// The same, since a result of a stage is gone.
+    InputGone,
     /// What came is no proper answer to this request.
     Improper(&'static str),
     /// Nothing came, or not all.
@@ -91,6 +93,8 @@
                     return self.pass(head, body, "whole");
                 }
                 Reply::TimedOut => return self.deny(Denial::TimedOut),
+                Reply::InputGone if !attempts.has_begun() => return self.deny(Denial::Unrun),
+                Reply::InputGone => return self.deny(Denial::Unknown),
                 Reply::Failed(head, body) => (Ended::Failed, Some((head, body))),
                 Reply::Unrun => (Ended::NotRun, None),
                 Reply::Improper(why) => {
@@ -221,6 +225,9 @@
     if echo.is_some_and(|it| it.as_bytes() != ask.id.as_bytes()) {
         return Some(Reply::Improper("it answers another request"));
     }
+    if headers.contains_key(&names.unrun) && status == StatusCode::CONFLICT {
+        return Some(Reply::InputGone);
+    }
     if headers.contains_key(&names.unrun) || status == StatusCode::MISDIRECTED_REQUEST {
         return Some(Reply::Unrun);
     }
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -183,6 +183,19 @@
     assert!(refused.header("retry-after").is_some());
 }
 
+#[test]
+fn a_request_whose_input_is_gone_is_refused_and_not_sent_elsewhere() {
+    let backend = scripted(|_, _| vec![Step::Send(unrun("409 Conflict"))]);
+    let other = scripted(|_, _| vec![Step::Send(unrun("409 Conflict"))]);
+    let endpoints = [endpoint("a", "app", backend.addr), endpoint("b", "app", other.addr)];
+    let relay = start(catalog(route(Repeat::ResumableStream)), &endpoints);
+
+    let got = call(&relay, &request("id1", "", ""));
+
+    assert_eq!(got.status, 503);
+    assert_eq!(backend.seen().len() + other.seen().len(), 1);
+}
+
 #[test]
 fn what_runs_once_is_not_sent_again_when_its_outcome_is_unknown() {
     let broken = scripted(|_, _| vec![Step::Close]);
