Free results whoever gathered them, and learn what room others hold

When the gatherer of a pool stopped, nobody told the endpoints which results were given up, and its successor called endpoints that were full of them: 246 of 263 calls found no room for 8 s.

Change: a result carries its endpoint; without its gatherer the endpoint is told from the instance that held the request. What a gatherer can't account for when an endpoint is full counts as taken and runs out over the time for which results are kept.

Ruled out: sizes that vary; leaving a tenth of the room free changed nothing.

Test: `an_endpoint_that_others_have_filled_…` fails without the change.

--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -10,6 +10,9 @@
 //! is begun only where all of it finds room, and goes into one call if it can,
 //! since the results of a group that isn't complete keep others from theirs.
 //!
+//! A gatherer that has taken over, or whose results vary in size, learns from
+//! refused results how much room others take.
+//!
 //! Endpoints take the pieces of their own failure domain first, and others
 //! only once they have waited for about a call. What can't be done in time by
 //! the present queue is given up at once.
@@ -69,8 +72,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallEnd {
     Answered,
-    /// Some result found no room.
-    Full,
+    /// Results of this size in all found no room.
+    Full {
+        refused: Bytes,
+    },
     /// There was no answer; its results count as gone.
     Failed,
 }
@@ -83,6 +88,9 @@
     used: u64,
     failures: u32,
     paused: Time,
+    /// Room that somebody else's results took when the endpoint was last full,
+    /// in bytes, and when that was.
+    foreign: (u64, Time),
 }
 
 /// The queue of one pool and what its endpoints are at.
@@ -203,7 +211,11 @@
         row.calls = row.calls.saturating_sub(1);
         match end {
             CallEnd::Answered => row.failures = 0,
-            CallEnd::Full => row.paused = now + FULL_PAUSE,
+            CallEnd::Full { refused } => {
+                row.paused = now + FULL_PAUSE;
+                let own = row.used.saturating_sub(refused.0);
+                row.foreign = (self.terms.room.0.saturating_sub(own), now);
+            }
             CallEnd::Failed => {
                 row.failures += 1;
                 let pause = FAILED_PAUSE.0 << (row.failures - 1).min(8);
@@ -244,6 +256,14 @@
         self.terms.full().0 as f64 / (f64::from(full) * calls)
     }
 
+    /// The room of an endpoint that is taken, in bytes. What others' results
+    /// took when it was full runs out with the time for which results are kept.
+    fn taken(&self, row: &Row, now: Time) -> u64 {
+        let (foreign, since) = row.foreign;
+        let left = self.terms.keeps.0.saturating_sub(now.since(since).0);
+        row.used + foreign * left / self.terms.keeps.0.max(1)
+    }
+
     fn sort(&mut self, now: Time) {
         let call = self.terms.full();
         let (begun, queue) = (&self.begun, &mut self.queue);
@@ -277,7 +297,7 @@
         for it in own.chain(foreign) {
             groups.entry(it.group).or_default().push(it);
         }
-        let mut filling = Filling::new(self, endpoint);
+        let mut filling = Filling::new(self, now, endpoint);
         groups.iter().for_each(|(group, pieces)| filling.add(*group, pieces));
         filling.taken
     }
@@ -285,7 +305,7 @@
 
 impl Row {
     fn new(domain: DomainName) -> Self {
-        Self { domain, calls: 0, used: 0, failures: 0, paused: Time(0) }
+        Self { domain, calls: 0, used: 0, failures: 0, paused: Time(0), foreign: (0, Time(0)) }
     }
 }
 
@@ -301,8 +321,8 @@
 }
 
 impl<'a> Filling<'a> {
-    fn new(gather: &'a Gather, endpoint: &EndpointName) -> Self {
-        let spare = |row: &Row| gather.terms.room.0.saturating_sub(row.used);
+    fn new(gather: &'a Gather, now: Time, endpoint: &EndpointName) -> Self {
+        let spare = |row: &Row| gather.terms.room.0.saturating_sub(gather.taken(row, now));
         let pool: u64 = gather.rows.values().map(spare).sum();
         let begun = gather.queue.iter().filter(|it| gather.begun.contains(&it.group));
         let promised: u64 = begun.map(|it| it.size.0).sum();
--- a/crates/coord/tests/gather.rs
+++ b/crates/coord/tests/gather.rs
@@ -104,6 +104,22 @@
     assert_eq!(ids(&gather.next(START).expect("a call")), [10, 11, 12, 13, 14, 15]);
 }
 
+#[test]
+fn an_endpoint_that_others_have_filled_is_used_as_their_results_run_out() {
+    let mut gather = gather(1);
+    (0..6).for_each(|it| gather.push(piece(it, 1, 3000)));
+    let call = gather.next(START).expect("a call");
+    gather.end(START, &call, CallEnd::Full { refused: Bytes(6000) });
+    (0..6).for_each(|_| gather.free_room(&call.endpoint, Bytes(1000)));
+    gather.close_group(GroupId(1));
+    (10..16).for_each(|it| gather.push(piece(it, 2, 3500)));
+
+    let soon = START + Millis(1000);
+    assert_eq!(gather.next(soon), None, "three quarters of the room are still taken");
+    let later = START + Millis(2000);
+    assert_eq!(ids(&gather.next(later).expect("a call")), [10, 11, 12, 13, 14, 15]);
+}
+
 #[test]
 fn what_the_queue_cannot_do_in_time_is_given_up_at_once() {
     let mut gather = gather(1);
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -4,7 +4,7 @@
     super::{MAX_MESSAGE, PeerAnswer, PeerCall},
     crate::{
         event::{Event, Inbox},
-        relay::{GatherAsk, GatherEvent, GatherReply, Handle},
+        relay::{GatherAsk, GatherEvent, GatherReply, Made},
     },
     coord::{
         control::Envelope,
@@ -82,7 +82,7 @@
         pass(context, GatherEvent::Cancel(id))
     })?;
     module.register_method("gather_free", |params, context, _| {
-        let (secret, pool, results): (String, PoolName, Vec<Handle>) = params.parse()?;
+        let (secret, pool, results): (String, PoolName, Vec<Made>) = params.parse()?;
         check(&secret, context)?;
         pass(context, GatherEvent::Free { pool, results })
     })?;
--- a/crates/daemon/src/relay/counts.rs
+++ b/crates/daemon/src/relay/counts.rs
@@ -73,6 +73,15 @@
         self.bytes += bytes;
     }
 
+    /// Logs why an answer that had begun can't go on.
+    pub fn note_error(&self, err: &hyper::Error) {
+        log::info!(
+            request = self.request.as_str(), endpoint = self.endpoint.as_deref().unwrap_or("none"),
+            bytes = self.bytes, error:% = err;
+            "[relay] answer broke off"
+        );
+    }
+
     /// Notes how the request ended, once.
     pub fn end(&mut self, outcome: &'static str) {
         if std::mem::replace(&mut self.done, true) {
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -101,8 +101,11 @@
                     log::info!(request = self.ask.id.as_str(), why = why; "[relay] improper answer");
                     (Ended::Unknown, None)
                 }
-                Reply::Lost(ref err) if err.is_unsent() => (Ended::NotSent, None),
-                Reply::Lost(_) => (Ended::Unknown, None),
+                Reply::Lost(err) => {
+                    let ended = if err.is_unsent() { Ended::NotSent } else { Ended::Unknown };
+                    log::info!(request = self.ask.id.as_str(), error:% = err; "[relay] attempt lost");
+                    (ended, None)
+                }
             };
             drop(in_flight);
             self.note_failure(&endpoint, ended);
@@ -132,7 +135,7 @@
             log::info!(
                 request = self.ask.id.as_str(), endpoint = it.name.as_str(), addr:% = it.addr,
                 in_flight = self.relay.placer().in_flight(&it.name), candidates = endpoints.len(),
-                tried = tried.len(), left_ms = self.ask.left().as_millis() as u64;
+                tried = tried.len(), tables = view.tables.version.0, left_ms = self.ask.left().as_millis() as u64;
                 "[relay] placed"
             );
         }
--- a/crates/daemon/src/relay/gatherer.rs
+++ b/crates/daemon/src/relay/gatherer.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Dialect, GatherAnswer, GatherAsk, GatherEvent, GatherReply, Handle, PieceError, PieceItem,
-        PieceResult,
+        Dialect, GatherAnswer, GatherAsk, GatherEvent, GatherReply, Handle, Made, PieceError,
+        PieceItem, PieceResult,
         relay::time_since,
         upstream::{SendError, Upstream},
         view::View,
@@ -53,7 +53,7 @@
     since: Time,
     target: Time,
     due: Time,
-    results: RefCell<Vec<Option<Handle>>>,
+    results: RefCell<Vec<Option<Made>>>,
     respond: RefCell<Option<oneshot::Sender<GatherReply>>>,
 }
 
@@ -155,7 +155,7 @@
     }
 
     /// Gives results up.
-    pub fn free(&self, pool: &PoolName, results: Vec<Handle>) {
+    pub fn free(&self, pool: &PoolName, results: Vec<Made>) {
         let mut pools = self.pools.borrow_mut();
         let Some(row) = pools.get_mut(pool) else {
             return;
@@ -484,10 +484,15 @@
         pieces: &[Waiting],
         answer: Result<Vec<PieceResult>, CallError>,
     ) -> Millis {
-        let full = |it: &PieceResult| matches!(it, Err(PieceError::Room));
         let end = match &answer {
-            Ok(results) if results.iter().any(full) => CallEnd::Full,
-            Ok(_) => CallEnd::Answered,
+            Ok(results) => {
+                let pairs = call.pieces.iter().zip(results);
+                let refused = pairs.filter(|(_, it)| matches!(it, Err(PieceError::Room)));
+                match refused.map(|(piece, _)| piece.size.0).sum() {
+                    0 => CallEnd::Answered,
+                    size => CallEnd::Full { refused: Bytes(size) },
+                }
+            }
             Err(_) => CallEnd::Failed,
         };
         self.gather.end(now, call, end);
@@ -517,10 +522,11 @@
         match result {
             Ok(handle) => {
                 self.held.insert(handle.clone(), (call.endpoint.clone(), piece.size));
-                waiting.row.results.borrow_mut()[waiting.number as usize] = Some(handle.clone());
+                let made = Made { handle, endpoint: call.endpoint.clone() };
+                waiting.row.results.borrow_mut()[waiting.number as usize] = Some(made.clone());
                 match self.asks.contains_key(&waiting.row.ask.id) {
                     true => self.settle(&waiting.row),
-                    false => self.give_up(handle),
+                    false => self.give_up(made),
                 }
                 return;
             }
@@ -533,7 +539,7 @@
 
     /// Answers an ask whose pieces are all done.
     fn settle(&mut self, row: &Rc<AskRow>) {
-        let done: Option<Vec<Handle>> = row.results.borrow().iter().cloned().collect();
+        let done: Option<Vec<Made>> = row.results.borrow().iter().cloned().collect();
         let Some(results) = done else {
             return;
         };
@@ -593,16 +599,14 @@
         };
         self.pieces.retain(|_, it| it.row.ask.id != id);
         self.gather.close_group(GroupId(id));
-        let made: Vec<Handle> = row.results.borrow().iter().flatten().cloned().collect();
+        let made: Vec<Made> = row.results.borrow().iter().flatten().cloned().collect();
         made.into_iter().for_each(|it| self.give_up(it));
     }
 
-    /// Has the endpoint of a result told that it isn't needed any more. Its room
-    /// counts as taken until the endpoint knows.
-    fn give_up(&mut self, handle: Handle) {
-        if let Some((endpoint, _)) = self.held.get(&handle) {
-            self.freeing.entry(endpoint.clone()).or_default().push(handle);
-        }
+    /// Has the endpoint of a result told that it isn't needed any more, whoever
+    /// had it made. Its room counts as taken until the endpoint knows.
+    fn give_up(&mut self, made: Made) {
+        self.freeing.entry(made.endpoint).or_default().push(made.handle);
     }
 
     /// Takes in that results are gone.
@@ -617,8 +621,8 @@
     /// Takes in that the time of a call's results has run out.
     fn run_out(&mut self, pieces: &[Waiting]) {
         for it in pieces {
-            let handle = it.row.results.borrow()[it.number as usize].clone();
-            self.gone(handle.as_slice());
+            let made = it.row.results.borrow()[it.number as usize].clone();
+            self.gone(made.map(|it| it.handle).as_slice());
         }
     }
 }
--- a/crates/daemon/src/relay/links.rs
+++ b/crates/daemon/src/relay/links.rs
@@ -1,7 +1,7 @@
 //! Calls the gatherers of other instances.
 
 use {
-    super::{GatherAsk, GatherReply, Handle, PieceError},
+    super::{GatherAsk, GatherReply, Made, PieceError},
     crate::peers::MAX_MESSAGE,
     coord::ids::PoolName,
     jsonrpsee::{
@@ -101,19 +101,17 @@
         })
     }
 
-    /// Has an instance give results up.
-    pub fn free(&self, to: SocketAddr, pool: PoolName, results: Vec<Handle>) {
-        let client = self.clients.borrow().get(&to).and_then(|it| it.get().cloned());
-        let secret = self.secret.clone();
-        // Without a connection the results run out by themselves.
-        if let Some(client) = client {
-            tokio::task::spawn_local(async move {
-                let params = rpc_params![&*secret, pool, results];
-                if let Err(err) = client.request::<(), _>("gather_free", params).await {
-                    log::debug!("[relay] Results were not freed: {err}.");
-                }
-            });
+    /// Has an instance give results up; false if it can't be reached.
+    pub async fn free(&self, to: SocketAddr, pool: &PoolName, results: &[Made]) -> bool {
+        let Some(client) = self.client(to).await else {
+            return false;
+        };
+        let params = rpc_params![&*self.secret, pool, results];
+        let freed = client.request::<(), _>("gather_free", params).await;
+        if let Err(err) = &freed {
+            log::info!(peer:% = to, results = results.len(), error:% = err; "[relay] results not freed");
         }
+        freed.is_ok()
     }
 
     fn avoid(&self, to: SocketAddr) {
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -23,7 +23,9 @@
 pub use {
     dialect::{BatchCodec, Dialect, HeaderNames, PieceInput, PieceItem},
     front::serve,
-    pieces::{GatherAnswer, GatherAsk, GatherEvent, GatherReply, Handle, PieceError, PieceResult},
+    pieces::{
+        GatherAnswer, GatherAsk, GatherEvent, GatherReply, Handle, Made, PieceError, PieceResult,
+    },
     relay::{Relay, RelayContext},
     relayed::{Phase, Relayed},
     settings::{RelayBounds, RelaySettings},
--- a/crates/daemon/src/relay/pieces.rs
+++ b/crates/daemon/src/relay/pieces.rs
@@ -3,7 +3,7 @@
 use {
     super::PieceInput,
     coord::{
-        ids::{Bytes, DomainName, PoolName},
+        ids::{Bytes, DomainName, EndpointName, PoolName},
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -45,11 +45,18 @@
     pub due: Millis,
 }
 
+/// A result and the endpoint that made it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Made {
+    pub handle: Handle,
+    pub endpoint: EndpointName,
+}
+
 /// What came of one piece.
 pub type PieceResult = Result<Handle, PieceError>;
 
 /// One result for each piece, in order.
-pub type GatherAnswer = Result<Vec<Handle>, PieceError>;
+pub type GatherAnswer = Result<Vec<Made>, PieceError>;
 
 /// The answer to an ask, with the state of the queue.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,5 +93,5 @@
 pub enum GatherEvent {
     Ask { ask: Box<GatherAsk>, respond: oneshot::Sender<GatherReply> },
     Cancel(u64),
-    Free { pool: PoolName, results: Vec<Handle> },
+    Free { pool: PoolName, results: Vec<Made> },
 }
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -1,7 +1,7 @@
 //! Runs the stages of a request, each as soon as those that it needs are done.
 
 use {
-    super::{GatherAsk, GatherReply, Handle, PieceError, PieceInput, ask::Ask, relay::Relay},
+    super::{GatherAsk, GatherReply, Handle, Made, PieceError, PieceInput, ask::Ask, relay::Relay},
     coord::{
         ids::PoolName,
         relay::{Plan, Progress},
@@ -22,16 +22,22 @@
 const MOST_HOLDERS: usize = 2;
 
 /// The results of one stage, and who gathered them.
-struct Made {
+struct StageMade {
     pool: PoolName,
     by: SocketAddr,
-    results: Vec<Handle>,
+    results: Vec<Made>,
+}
+
+impl StageMade {
+    fn handles(&self) -> impl Iterator<Item = Handle> + '_ {
+        self.results.iter().map(|it| it.handle.clone())
+    }
 }
 
 /// The results of a request's stages. They are given up when it is dropped.
 pub struct Results {
     relay: Rc<Relay>,
-    stages: Vec<Option<Made>>,
+    stages: Vec<Option<StageMade>>,
     /// Positions of the stages whose results the request itself needs.
     last: Vec<usize>,
 }
@@ -40,7 +46,7 @@
     /// The results that the request itself needs, in the order of the stages.
     pub fn inputs(&self) -> Vec<Handle> {
         let made = self.last.iter().filter_map(|it| self.stages[*it].as_ref());
-        made.flat_map(|it| it.results.iter().cloned()).collect()
+        made.flat_map(StageMade::handles).collect()
     }
 
     /// Gives all results up.
@@ -52,10 +58,16 @@
         let Some(made) = self.stages[stage].take().filter(|it| !it.results.is_empty()) else {
             return;
         };
-        match made.by == self.relay.peer {
-            true => self.relay.gatherers.free(&made.pool, made.results),
-            false => self.relay.links.free(made.by, made.pool, made.results),
-        }
+        let relay = self.relay.clone();
+        tokio::task::spawn_local(async move {
+            let StageMade { pool, by, results } = made;
+            // Endpoints are told by the gatherer, who counts their room, or else
+            // from here.
+            let told = by != relay.peer && relay.links.free(by, &pool, &results).await;
+            if !told {
+                relay.gatherers.free(&pool, results);
+            }
+        });
     }
 }
 
@@ -122,7 +134,7 @@
             results.last.contains(&stage) || followers.any(|it| results.stages[it].is_none());
         let made = results.stages[stage].as_mut().filter(|_| !needed);
         if let Some(made) = made {
-            let rest = Made { pool: made.pool.clone(), by: made.by, results: Vec::new() };
+            let rest = StageMade { pool: made.pool.clone(), by: made.by, results: Vec::new() };
             results.give_up(stage);
             results.stages[stage] = Some(rest);
         }
@@ -144,7 +156,7 @@
         let made = row.after.iter().filter_map(|it| results.stages[*it].as_ref());
         let input = match row.after.is_empty() {
             true => PieceInput::Source(ask.source.clone()),
-            false => PieceInput::Results(made.flat_map(|it| it.results.clone()).collect()),
+            false => PieceInput::Results(made.flat_map(StageMade::handles).collect()),
         };
         let tail = Duration::from_millis(tail.0);
         let gather = GatherAsk {
@@ -168,11 +180,11 @@
         }
     }
 
-    async fn run(self, relay: Rc<Relay>) -> Result<Made, PieceError> {
+    async fn run(self, relay: Rc<Relay>) -> Result<StageMade, PieceError> {
         let began = Instant::now();
         let pool = self.ask.pool.clone();
         if self.ask.count == 0 {
-            return Ok(Made { pool, by: relay.peer, results: Vec::new() });
+            return Ok(StageMade { pool, by: relay.peer, results: Vec::new() });
         }
         let mut answer = Err(PieceError::Unreachable);
         let mut by = relay.peer;
@@ -192,7 +204,7 @@
             took_ms = began.elapsed().as_millis() as u64;
             "[relay] stage ended"
         );
-        answer.map(|results| Made { pool, by, results })
+        answer.map(|results| StageMade { pool, by, results })
     }
 
     async fn ask_holder(&self, relay: &Rc<Relay>, holder: SocketAddr) -> GatherReply {
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -52,6 +52,7 @@
             }
             Poll::Ready(Some(Err(err))) => {
                 self.lease = None;
+                self.ending.note_error(&err);
                 self.ending.end("broken_off");
                 Poll::Ready(Some(Err(io::Error::other(err))))
             }
