Look at a gatherer's queue only when an endpoint is free

Change: without a free endpoint the queue isn't ordered, and what can't be done in time is looked for every 50 ms.

--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -34,6 +34,9 @@
 /// time in which a request reads its results.
 const FULL_PAUSE: Millis = Millis(150);
 
+/// How often the queue is looked through for what can't be done in time.
+const EXPIRE_EVERY: Millis = Millis(50);
+
 /// Names a piece at its gatherer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PieceId(pub u64);
@@ -101,12 +104,20 @@
     rows: IndexMap<EndpointName, Row>,
     /// Groups of which a piece was called.
     begun: IndexSet<GroupId>,
+    /// When the queue was last looked through for what can't be done in time.
+    expired: Time,
 }
 
 impl Gather {
     /// An empty queue.
     pub fn new(terms: BatchTerms) -> Self {
-        Self { terms, queue: Vec::new(), rows: IndexMap::new(), begun: IndexSet::new() }
+        Self {
+            terms,
+            queue: Vec::new(),
+            rows: IndexMap::new(),
+            begun: IndexSet::new(),
+            expired: Time(0),
+        }
     }
 
     /// Takes in other terms and the endpoints that may be called from now on.
@@ -141,7 +152,12 @@
 
     /// Takes out the groups that can't be done in time behind those before
     /// them, with the time in which what waits will be done.
+    /// It looks again only after [`EXPIRE_EVERY`], since it orders the queue.
     pub fn expire(&mut self, now: Time) -> Vec<(GroupId, Millis)> {
+        if now.since(self.expired) < EXPIRE_EVERY {
+            return Vec::new();
+        }
+        self.expired = now;
         let each = self.each();
         let least = self.duration(1);
         self.sort(now);
@@ -174,11 +190,12 @@
     /// the pieces that can still be on time; of these the groups that were
     /// begun, then the most urgent.
     pub fn next(&mut self, now: Time) -> Option<GatherCall> {
-        if self.queue.is_empty() {
+        let free = self.free(now);
+        if self.queue.is_empty() || free.is_empty() {
             return None;
         }
         self.sort(now);
-        let (endpoint, taken) = self.free(now).into_iter().find_map(|endpoint| {
+        let (endpoint, taken) = free.into_iter().find_map(|endpoint| {
             let taken = self.fitting(now, &endpoint);
             (!taken.is_empty()).then_some((endpoint, taken))
         })?;
