--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod gatherer;
 mod links;
 mod pieces;
+mod pool;
 #[allow(clippy::module_inception)]
 mod relay;
 mod relayed;
