Never call pieces that can't be done in time

The queue is looked through for what is too late every 50 ms only; a piece that came within that time was called although its end had passed, and its caller waited for the call. Load made the order of the two events likely; the fault was there without it.

Change: what can't be done in time goes into no call, and the gatherer wakes to give it up within 50 ms while pieces wait.

Test: `what_comes_too_late_is_never_called` fails without the change.

--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -214,10 +214,12 @@
         Some(GatherCall { endpoint, pieces })
     }
 
-    /// When a paused endpoint may be called again, if pieces wait for it.
+    /// When to look again, if pieces wait: a paused endpoint may be called, or
+    /// the queue is looked through for what can't be done in time.
     pub fn wake(&self, now: Time) -> Option<Time> {
-        let paused = self.rows.values().map(|it| it.paused).filter(|it| *it > now).min();
-        paused.filter(|_| !self.queue.is_empty())
+        let paused = self.rows.values().map(|it| it.paused);
+        let times = paused.chain([self.expired + EXPIRE_EVERY]).filter(|it| *it > now);
+        times.min().filter(|_| !self.queue.is_empty())
     }
 
     /// Takes in that a call has ended.
@@ -308,9 +310,10 @@
             let served = self.rows.values().any(|row| Some(&row.domain) == it.home.as_ref());
             !served || now.since(it.since) >= patience
         };
+        let open = || self.queue.iter().filter(|it| now + patience <= it.due);
         let mut groups: IndexMap<GroupId, Vec<&Piece>> = IndexMap::new();
-        let own = self.queue.iter().filter(|it| is_own(it));
-        let foreign = self.queue.iter().filter(|it| !is_own(it) && may_leave(it));
+        let own = open().filter(|it| is_own(it));
+        let foreign = open().filter(|it| !is_own(it) && may_leave(it));
         for it in own.chain(foreign) {
             groups.entry(it.group).or_default().push(it);
         }
--- a/crates/coord/tests/gather.rs
+++ b/crates/coord/tests/gather.rs
@@ -136,6 +136,20 @@
     assert_eq!(gather.len(), 40);
 }
 
+#[test]
+fn what_comes_too_late_is_never_called() {
+    let mut gather = gather(1);
+    assert!(gather.expire(START).is_empty());
+    let mut hopeless = piece(1, 1, 100);
+    hopeless.due = START + Millis(150);
+    gather.push(hopeless);
+
+    assert_eq!(gather.next(START), None);
+    let wake = gather.wake(START).expect("a time");
+    assert!(wake <= START + Millis(50));
+    assert_eq!(gather.expire(wake).len(), 1);
+}
+
 #[test]
 fn an_endpoint_takes_its_own_domain_first_and_others_after_a_call() {
     let mut gather = Gather::new(terms());
