Hold an endpoint at its cold bound for as long as its pool starts

Cause: the leader raised an endpoint above its cold bound one second after a refusal, whatever its start takes, and again a second after each further refusal.

Ruled out: late shares (the first cut comes 40 to 44 ms after the turn in each of 12 traced runs, and nothing is refused between it and the first step); the stand-in's books (it ends a call before it hands out the last line).

Change: a leader learns how long starts of a pool take from the endpoints' own reports, and holds a refusing endpoint for that time and a quarter; where it has seen no start, each refused step doubles the hold.

--- a/crates/coord/src/control/endpoints.rs
+++ b/crates/coord/src/control/endpoints.rs
@@ -3,7 +3,7 @@
 use {
     super::{Heard, TroubleKind},
     crate::{
-        ids::{EndpointName, Generation, Slots},
+        ids::{EndpointName, Generation, PoolName, Slots},
         tables::{Endpoint, EndpointState, Tables},
         time::{Millis, Time},
     },
@@ -16,8 +16,15 @@
 const FORGET: Millis = Millis(600_000);
 /// The least time between two steps of a ramp.
 const RAMP_STEP: Millis = Millis(400);
-/// How long an endpoint stays at its cold bound after trouble.
+/// How long an endpoint stays at its cold bound after trouble, at the least.
 const COLD_HOLD: Millis = Millis(1000);
+/// The longest hold: the last of five doublings, beyond any start that was
+/// seen on the users' engines.
+const LONGEST_HOLD: Millis = Millis(32_000);
+
+/// A hold is longer than the start that was seen by one part in so many, since
+/// a start is seen from its first report on.
+const START_MARGIN: u64 = 4;
 
 /// What one endpoint bears.
 #[derive(Debug, Clone)]
@@ -30,6 +37,13 @@
     step: Time,
     /// Whether it answered well since the last step.
     good: bool,
+    /// The least time at the cold bound after the next refusal.
+    hold: Millis,
+    /// Whether it was given more than its cold bound, but not yet all, since the
+    /// last refusal.
+    probed: bool,
+    /// Since when it has said that it is cold.
+    starting: Option<Time>,
     usable: bool,
     /// What it was found to bear at the latest tick.
     shown: u32,
@@ -39,6 +53,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     rows: IndexMap<EndpointName, Row>,
+    /// The hold that covers the longest start which this leader saw in a pool.
+    starts: IndexMap<PoolName, Millis>,
 }
 
 impl EndpointTable {
@@ -59,8 +75,14 @@
                 row.cool(endpoint, now);
             }
             if fresh {
+                (row.hold, row.probed) = (COLD_HOLD, false);
                 renewed.push(endpoint.name.clone());
             }
+            if let Some(start) = row.follow_start(endpoint, fresh, now) {
+                let longest = self.starts.entry(endpoint.pool.clone()).or_default();
+                let hold = Millis(start.0 + start.0 / START_MARGIN);
+                *longest = hold.max(*longest).min(LONGEST_HOLD);
+            }
             row.generation = endpoint.generation;
             row.usable = usable;
         }
@@ -83,8 +105,13 @@
             return;
         };
         row.cool(endpoint, now);
-        if kind == TroubleKind::Failed {
-            row.step = now + COLD_HOLD + COLD_HOLD;
+        match kind {
+            TroubleKind::Refused => {
+                let start = self.starts.get(&endpoint.pool).copied().unwrap_or_default();
+                row.hold_back(start, now);
+            }
+            TroubleKind::Failed => row.step = now + COLD_HOLD + COLD_HOLD,
+            TroubleKind::Silent => {}
         }
     }
 
@@ -118,6 +145,10 @@
                 row.allowed = (row.allowed * 2).clamp(1, endpoint.slots.0);
                 row.step = now + RAMP_STEP;
                 row.good = false;
+                row.probed = row.allowed < endpoint.slots.0;
+                if !row.probed {
+                    row.hold = COLD_HOLD;
+                }
             }
             let bears = row.bears(now);
             changed |= bears != row.shown;
@@ -152,6 +183,9 @@
             load: 0,
             step: now,
             good: false,
+            hold: COLD_HOLD,
+            probed: false,
+            starting: None,
             usable: true,
             shown: 0,
         }
@@ -163,6 +197,26 @@
         self.good = false;
     }
 
+    /// Holds it at the cold bound for as long as a start of its pool takes, and
+    /// twice as long as before if it refused what the last step added.
+    fn hold_back(&mut self, start: Millis, now: Time) {
+        if std::mem::take(&mut self.probed) {
+            self.hold = Millis(self.hold.0 * 2).min(LONGEST_HOLD);
+        }
+        self.step = now + self.hold.max(start);
+    }
+
+    /// Notes when a start begins; the length of one that has ended.
+    fn follow_start(&mut self, endpoint: &Endpoint, fresh: bool, now: Time) -> Option<Millis> {
+        if endpoint.state == EndpointState::Cold {
+            let since = self.starting.filter(|_| !fresh).unwrap_or(now);
+            self.starting = Some(since);
+            return None;
+        }
+        let since = self.starting.take().filter(|_| !fresh)?;
+        Some(now.since(since))
+    }
+
     fn bears(&self, now: Time) -> u32 {
         let used = self.usable && !self.is_silent(now);
         if used { self.allowed } else { 0 }
--- a/crates/coord/tests/endpoint_table.rs
+++ b/crates/coord/tests/endpoint_table.rs
@@ -82,6 +82,49 @@
     assert_eq!(table.allowed(&heard().endpoint, now + Millis(500)), Slots(2));
 }
 
+/// Calls that an endpoint which is cold until `warm` refuses, when it gets all
+/// that it is allowed at each tick.
+fn refusals(table: &mut EndpointTable, tables: &Tables, from: Time, warm: Time) -> u32 {
+    let mut refused = 0;
+    let mut now = from;
+    while now < warm {
+        table.hear(&heard(), now);
+        table.good(&heard().endpoint, Generation(1));
+        table.tick(tables, now);
+        if table.allowed(&heard().endpoint, now) > Slots(2) {
+            refused += 1;
+            table.trouble(&tables.endpoints[0], TroubleKind::Refused, now);
+        }
+        now = now + Millis(50);
+    }
+    refused
+}
+
+#[test]
+fn one_that_turns_cold_without_a_word_is_held_for_as_long_as_its_pool_starts() {
+    let mut table = EndpointTable::default();
+    table.reload(&tables(EndpointState::Cold), START);
+    let warm = START + Millis(4000);
+    table.reload(&tables(EndpointState::Warm), warm);
+    let turned = warm + Millis(5000);
+    let tables = tables(EndpointState::Warm);
+    table.trouble(&tables.endpoints[0], TroubleKind::Refused, turned);
+
+    let refused = refusals(&mut table, &tables, turned, turned + Millis(4000));
+
+    assert_eq!(refused, 0);
+}
+
+#[test]
+fn one_that_refuses_each_step_is_tried_less_and_less_often() {
+    let (mut table, tables, now) = ramped();
+    table.trouble(&tables.endpoints[0], TroubleKind::Refused, now);
+
+    let refused = refusals(&mut table, &tables, now, now + Millis(14_000));
+
+    assert_eq!(refused, 3, "after one, two and four seconds more");
+}
+
 #[test]
 fn one_that_falls_silent_bears_nothing_and_is_cold_when_it_is_heard_again() {
     let (mut table, tables, now) = ramped();
--- a/crates/harness/tests/endpoints.rs
+++ b/crates/harness/tests/endpoints.rs
@@ -79,26 +79,41 @@
     assert!(busy.iter().any(|it| it.flying > 2), "it was ramped once it was warm");
 }
 
-#[test]
-fn an_endpoint_that_goes_cold_without_a_word_is_cut_back() {
+/// One of three endpoints goes cold with no word while so many callers ask.
+/// Returns how long it got too much for, in ms, and the answers.
+fn go_cold(workers: usize) -> (u64, Vec<Answered>) {
     let mut specs = endpoints(&["north", "east", "south"]);
     specs.iter_mut().for_each(|it| it.cold_ms = 1500);
     let system = system_of(ClusterSpec::new(3, 1), &specs);
-    load(&system, 12, Duration::from_secs(4));
-
+    load(&system, workers, Duration::from_secs(4));
     let cold = name("generate-1");
+
     system.stand_ins.control(&cold, &Control { cold: true, ..Control::default() });
     let since = wall();
-    let answers = load(&system, 12, Duration::from_secs(3));
+    let answers = load(&system, workers, Duration::from_secs(3));
 
     let record = system.stand_ins.record(&cold);
     let over = record.runs.iter().filter(|it| it.at >= since && !it.taken).map(|it| it.at).max();
-    let settled = over.map_or(0, |it| it.0 - since.0);
+    (over.map_or(0, |it| it.0 - since.0), answers)
+}
+
+#[test]
+fn an_endpoint_that_goes_cold_without_a_word_is_cut_back() {
+    let (settled, answers) = go_cold(12);
+
     assert!(settled < 1000, "still too much after {settled} ms");
     assert!(answers.len() > 50, "{}", answers.len());
     assert_eq!(whole(&answers), answers.len());
 }
 
+#[test]
+fn an_endpoint_that_goes_cold_while_all_are_full_is_cut_back_until_it_is_warm() {
+    let (settled, answers) = go_cold(40);
+
+    assert!(settled < 1000, "still too much after {settled} ms");
+    assert!(answers.len() > 50, "{}", answers.len());
+}
+
 #[test]
 fn a_domain_that_is_out_gets_nothing_new_and_comes_back() {
     let system = small_system(3, 1);
