Split gathering by failure domain where instances are many

Cause: one instance gathered for a whole pool.

Ruled out: the pools' own capacity (calls of 8, 27 and 59 pieces where 18, 60 and 96 fit), processor time (mean 0.009 cores an instance).

Change: a pool's endpoints of one failure domain are a shard with a gatherer of its own, from 12 entry instances a domain on. A request asks the shard of its home domain, or one whose queue is 200 ms shorter; a shard none of whose endpoints answers hands its pieces back at once. Who gathers is now worked out once for a state of the tables, not for each stage.

Small sites have fewer instances and aren't split.

--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -177,6 +177,11 @@
         expired.into_iter().collect()
     }
 
+    /// Whether each endpoint failed its last call and gets none for now.
+    pub fn is_down(&self, now: Time) -> bool {
+        self.rows.values().all(|it| it.failures > 0 && it.paused > now)
+    }
+
     /// How long a piece that comes now waits behind those that go before it.
     pub fn wait(&self, now: Time, priority: u8) -> Millis {
         let call = self.terms.full();
--- a/crates/coord/src/relay/holders.rs
+++ b/crates/coord/src/relay/holders.rs
@@ -2,7 +2,8 @@
 //! agreed roster; two that differ for a moment only make smaller calls.
 
 use {
-    crate::{ids::PoolName, tables::Tables},
+    super::Shard,
+    crate::tables::{Member, Tables},
     indexmap::IndexSet,
     sha2::{Digest, Sha256},
     std::net::SocketAddr,
@@ -31,9 +32,20 @@
 }
 
 /// The entry instances in the order in which they are asked to gather for a
-/// pool.
-pub fn holders(tables: &Tables, pool: &PoolName) -> Vec<SocketAddr> {
+/// shard. The first one is of the shard's own failure domain where that has any,
+/// the second one of another, which can go on when that domain is lost.
+pub fn holders(tables: &Tables, shard: &Shard) -> Vec<SocketAddr> {
+    let subject = shard.to_string();
     let mut addrs: Vec<SocketAddr> = entries(tables).into_iter().collect();
-    addrs.sort_by_cached_key(|it| rank(pool.as_str().as_bytes(), it.to_string().as_bytes()));
-    addrs
+    addrs.sort_by_cached_key(|it| rank(subject.as_bytes(), it.to_string().as_bytes()));
+    let Some(domain) = &shard.domain else {
+        return addrs;
+    };
+    let is_near = |it: &Member| !it.disk && it.domain == *domain;
+    let near = tables.roster.values().filter(|it| is_near(it)).map(|it| it.peer);
+    let near: IndexSet<SocketAddr> = near.collect();
+    let (mut order, far): (Vec<_>, Vec<_>) = addrs.into_iter().partition(|it| near.contains(it));
+    let second = order.len().min(1);
+    order.splice(second..second, far);
+    order
 }
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod outlook;
 mod placer;
 mod plan;
+mod shard;
 
 pub use {
     attempts::{Attempts, Ended, Next},
@@ -17,4 +18,5 @@
     outlook::Outlook,
     placer::{Placer, Wish},
     plan::{Plan, Progress},
+    shard::{Shard, is_split, shards},
 };
--- a/crates/coord/src/relay/outlook.rs
+++ b/crates/coord/src/relay/outlook.rs
@@ -1,8 +1,9 @@
 //! What an instance knows of the queues of other instances' gatherers.
 
 use {
+    super::{Shard, rank},
     crate::{
-        ids::PoolName,
+        ids::DomainName,
         time::{Millis, Time},
     },
     indexmap::IndexMap,
@@ -12,21 +13,56 @@
 /// calls.
 const FRESH: Millis = Millis(1000);
 
-/// The latest reports of how long pieces wait, by pool and priority.
+/// How long a shard gets no piece after none of its endpoints answered; about as
+/// long as an endpoint is paused that failed twice.
+const AVOID: Millis = Millis(1000);
+/// How much shorter another shard's queue must be than that of the own failure
+/// domain: the fixed part of a call, since the next stage reads the results
+/// over slower links.
+const AWAY: Millis = Millis(200);
+
+/// The latest reports of how long pieces wait, by shard and priority.
 #[derive(Debug, Default)]
 pub struct Outlook {
-    waits: IndexMap<(PoolName, u8), (Millis, Time)>,
+    waits: IndexMap<(Shard, u8), (Millis, Time)>,
+    /// Until when a shard is avoided.
+    down: IndexMap<Shard, Time>,
 }
 
 impl Outlook {
     /// Takes in a report.
-    pub fn report(&mut self, now: Time, pool: &PoolName, priority: u8, wait: Millis) {
-        self.waits.insert((pool.clone(), priority), (wait, now));
+    pub fn report(&mut self, now: Time, shard: &Shard, priority: u8, wait: Millis) {
+        self.waits.insert((shard.clone(), priority), (wait, now));
+    }
+
+    /// Takes in that no endpoint of a shard answers.
+    pub fn avoid(&mut self, now: Time, shard: &Shard) {
+        self.down.insert(shard.clone(), now + AVOID);
+    }
+
+    /// The shards in the order in which they are asked: the one of the preferred
+    /// failure domain, unless its queue is much longer than another's. Equal
+    /// ones are drawn by the subject.
+    pub fn order(
+        &self,
+        now: Time,
+        mut shards: Vec<Shard>,
+        home: Option<&DomainName>,
+        priority: u8,
+        subject: &[u8],
+    ) -> Vec<Shard> {
+        shards.sort_by_cached_key(|it| {
+            let down = self.down.get(it).is_some_and(|until| *until > now);
+            let away = if it.domain.as_ref() == home { Millis(0) } else { AWAY };
+            let cost = self.wait(now, it, priority) + away;
+            (down, cost, rank(subject, it.to_string().as_bytes()))
+        });
+        shards
     }
 
     /// How long a piece is expected to wait; zero where nothing fresh is known.
-    pub fn wait(&self, now: Time, pool: &PoolName, priority: u8) -> Millis {
-        let row = self.waits.get(&(pool.clone(), priority));
+    pub fn wait(&self, now: Time, shard: &Shard, priority: u8) -> Millis {
+        let row = self.waits.get(&(shard.clone(), priority));
         let fresh = row.filter(|(_, at)| now.since(*at) <= FRESH);
         fresh.map_or(Millis(0), |(wait, _)| *wait)
     }
--- a/crates/coord/tests/relay.rs
+++ b/crates/coord/tests/relay.rs
@@ -4,11 +4,14 @@
     coord::{
         catalog::{RelayRoute, RelayStage, Repeat, Split},
         ids::{Bytes, EndpointName, Generation, Incarnation, NodeId, Slots},
-        relay::{Attempts, Ended, Next, Outlook, Placer, Plan, Progress, Wish, holders, home},
+        relay::{
+            Attempts, Ended, Next, Outlook, Placer, Plan, Progress, Shard, Wish, holders, home,
+            is_split, shards,
+        },
         tables::{Endpoint, EndpointState, Member, Tables},
         time::{Millis, Time},
     },
-    std::collections::HashMap,
+    std::{collections::HashMap, net::SocketAddr},
 };
 
 const START: Time = Time(1000);
@@ -206,13 +209,82 @@
 #[test]
 fn reports_of_queues_age() {
     let mut outlook = Outlook::default();
+    let shard = shard(None);
+
+    outlook.report(START, &shard, 1, Millis(300));
+
+    assert_eq!(outlook.wait(START + Millis(500), &shard, 1), Millis(300));
+    assert_eq!(outlook.wait(START + Millis(500), &shard, 0), Millis(0));
+    assert_eq!(outlook.wait(START + Millis(5000), &shard, 1), Millis(0));
+}
+
+/// A shard of pool `p`.
+fn shard(domain: Option<&str>) -> Shard {
+    let domain = domain.map(|it| it.parse().expect("a name"));
+    Shard { pool: "p".parse().expect("a name"), domain }
+}
+
+#[test]
+fn pieces_stay_in_their_domain_unless_its_queue_is_much_longer_or_it_is_down() {
+    let (a, b) = (shard(Some("a")), shard(Some("b")));
+    let home = a.domain.clone();
+    let first = |outlook: &Outlook| {
+        let shards = vec![b.clone(), a.clone()];
+        outlook.order(START, shards, home.as_ref(), 1, b"request")[0].clone()
+    };
+    let mut outlook = Outlook::default();
+    let quiet = first(&outlook);
+
+    outlook.report(START, &a, 1, Millis(150));
+    let busy = first(&outlook);
+    outlook.report(START, &a, 1, Millis(450));
+    let full = first(&outlook);
+    outlook.report(START, &b, 1, Millis(450));
+    let both = first(&outlook);
+    outlook.avoid(START, &a);
+    let down = first(&outlook);
+
+    assert_eq!([quiet, busy, full, both, down], [a.clone(), a.clone(), b.clone(), a.clone(), b]);
+}
+
+/// So many entry instances in two domains.
+fn entry_tables(count: u64) -> Tables {
+    let member = |id: u64| Member {
+        id: NodeId(id),
+        name: format!("n{id}").parse().expect("a name"),
+        domain: if id.is_multiple_of(2) { "a" } else { "b" }.parse().expect("a name"),
+        peer: ([127, 0, 0, 1], id as u16).into(),
+        incarnation: Incarnation(1),
+        disk: false,
+    };
+    Tables { roster: (1..=count).map(|it| (NodeId(it), member(it))).collect(), ..Tables::default() }
+}
+
+#[test]
+fn a_pool_is_split_by_domain_where_instances_are_many() {
     let pool = "p".parse().expect("a name");
+    let endpoints = [endpoint("x", "a"), endpoint("y", "b"), endpoint("z", "a")];
+    let split = |count| shards(&pool, &endpoints, is_split(&entry_tables(count)));
+
+    assert_eq!(split(8), [shard(None)]);
+    assert_eq!(split(24), [shard(Some("a")), shard(Some("b"))]);
+}
+
+#[test]
+fn a_cell_is_gathered_in_its_domain_and_then_in_another() {
+    let tables = entry_tables(24);
+    let domain = |it: &SocketAddr| {
+        let member = tables.roster.values().find(|member| member.peer == *it);
+        member.expect("an instance").domain.to_string()
+    };
 
-    outlook.report(START, &pool, 1, Millis(300));
+    for name in ["a", "b"] {
+        let holders = holders(&tables, &shard(Some(name)));
 
-    assert_eq!(outlook.wait(START + Millis(500), &pool, 1), Millis(300));
-    assert_eq!(outlook.wait(START + Millis(500), &pool, 0), Millis(0));
-    assert_eq!(outlook.wait(START + Millis(5000), &pool, 1), Millis(0));
+        assert_eq!(holders.len(), 24);
+        assert_eq!(domain(&holders[0]), name);
+        assert_ne!(domain(&holders[1]), name);
+    }
 }
 
 #[test]
@@ -229,7 +301,7 @@
         roster: members.into_iter().map(|it| (it.id, it)).collect(),
         ..Tables::default()
     };
-    let pool = "p".parse().expect("a name");
+    let shard = shard(None);
 
     let one = tables(vec![member(1, 1, false), member(2, 2, false), member(3, 3, true)]);
     let restarted = tables(vec![
@@ -239,6 +311,6 @@
         member(2, 2, false),
     ]);
 
-    assert_eq!(holders(&one, &pool), holders(&restarted, &pool));
-    assert_eq!(holders(&one, &pool).len(), 2, "instances with a disk don't relay here");
+    assert_eq!(holders(&one, &shard), holders(&restarted, &shard));
+    assert_eq!(holders(&one, &shard).len(), 2, "instances with a disk don't relay here");
 }
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -6,10 +6,7 @@
         event::{Event, Inbox},
         relay::{GatherAsk, GatherEvent, GatherReply, Made},
     },
-    coord::{
-        control::Envelope,
-        ids::{PoolName, SystemId},
-    },
+    coord::{control::Envelope, ids::SystemId, relay::Shard},
     jsonrpsee::{
         RpcModule,
         core::RegisterMethodError,
@@ -82,9 +79,9 @@
         pass(context, GatherEvent::Cancel(id))
     })?;
     module.register_method("gather_free", |params, context, _| {
-        let (secret, pool, results): (String, PoolName, Vec<Made>) = params.parse()?;
+        let (secret, shard, results): (String, Shard, Vec<Made>) = params.parse()?;
         check(&secret, context)?;
-        pass(context, GatherEvent::Free { pool, results })
+        pass(context, GatherEvent::Free { shard, results })
     })?;
     Ok(())
 }
--- a/crates/daemon/src/relay/gatherer.rs
+++ b/crates/daemon/src/relay/gatherer.rs
@@ -4,7 +4,7 @@
     super::{
         Dialect, GatherAsk, GatherEvent, GatherReply, Handle, Made, PieceError, PieceItem,
         PieceResult,
-        pool::{CallError, PoolRow, Waiting},
+        pool::{CallError, ShardRow, Waiting},
         relay::time_since,
         upstream::Upstream,
         view::View,
@@ -12,7 +12,7 @@
     coord::{
         catalog::BatchTerms,
         ids::{EndpointName, PoolName},
-        relay::GatherCall,
+        relay::{GatherCall, Shard},
         tables::Endpoint,
         time::Millis,
     },
@@ -49,7 +49,7 @@
 pub struct Gatherers {
     dialect: Arc<Dialect>,
     upstream: Rc<Upstream>,
-    pools: RefCell<IndexMap<PoolName, PoolRow>>,
+    shards: RefCell<IndexMap<Shard, ShardRow>>,
     own: Weak<Self>,
     pieces: Cell<u64>,
     start: Instant,
@@ -75,7 +75,7 @@
         Rc::new_cyclic(|own| Self {
             dialect,
             upstream,
-            pools: RefCell::default(),
+            shards: RefCell::default(),
             own: own.clone(),
             pieces: Cell::new(0),
             start,
@@ -84,17 +84,27 @@
 
     /// Takes in the pools and endpoints of another state of the tables.
     pub fn reload(&self, view: &View) {
-        let mut pools = self.pools.borrow_mut();
+        let mut rows = self.shards.borrow_mut();
         let batches = view.catalog().services.iter();
         let terms: IndexMap<&PoolName, BatchTerms> =
             batches.filter_map(|(name, it)| Some((name, it.batch?))).collect();
-        pools.retain(|name, _| terms.contains_key(name));
-        for (name, terms) in terms {
-            let row = pools.entry(name.clone()).or_insert_with(|| PoolRow::new(terms, self.start));
-            row.reload(terms, view.endpoints(name));
+        rows.retain(|shard, row| {
+            let kept = view.shards(&shard.pool).contains(shard);
+            if !kept {
+                row.fail_all(PieceError::Down);
+            }
+            kept
+        });
+        for (pool, terms) in terms {
+            for shard in view.shards(pool) {
+                let row =
+                    rows.entry(shard.clone()).or_insert_with(|| ShardRow::new(terms, self.start));
+                let own = view.endpoints(pool).iter().filter(|it| shard.includes(it)).cloned();
+                row.reload(terms, &own.collect::<Vec<_>>());
+            }
         }
-        let names: Vec<PoolName> = pools.keys().cloned().collect();
-        drop(pools);
+        let names: Vec<Shard> = rows.keys().cloned().collect();
+        drop(rows);
         names.iter().for_each(|it| self.pump(it));
     }
 
@@ -104,7 +114,7 @@
             match event {
                 GatherEvent::Ask { ask, respond } => self.take(*ask, respond),
                 GatherEvent::Cancel(id) => self.cancel(id),
-                GatherEvent::Free { pool, results } => self.free(&pool, results),
+                GatherEvent::Free { shard, results } => self.free(&shard, results),
             }
         }
     }
@@ -120,94 +130,94 @@
     }
 
     /// Gives results up.
-    pub fn free(&self, pool: &PoolName, results: Vec<Made>) {
-        let mut pools = self.pools.borrow_mut();
-        let Some(row) = pools.get_mut(pool) else {
-            return;
-        };
-        results.into_iter().for_each(|it| row.give_up(it));
-        drop(pools);
-        self.pump(pool);
+    pub fn free(&self, shard: &Shard, results: Vec<Made>) {
+        let freed = self.with(shard, |row| results.into_iter().for_each(|it| row.give_up(it)));
+        if freed.is_some() {
+            self.pump(shard);
+        }
     }
 
     /// Drops what waits of an ask.
     pub fn cancel(&self, id: u64) {
-        let mut pools = self.pools.borrow_mut();
-        let found = pools.iter_mut().find(|(_, row)| row.asks.contains_key(&id));
-        let Some((pool, row)) = found else {
+        let mut rows = self.shards.borrow_mut();
+        let found = rows.iter_mut().find(|(_, row)| row.asks.contains_key(&id));
+        let Some((shard, row)) = found else {
             return;
         };
         row.drop_ask(id);
-        let pool = pool.clone();
-        drop(pools);
-        self.pump(&pool);
+        let shard = shard.clone();
+        drop(rows);
+        self.pump(&shard);
     }
 
     fn take(&self, ask: GatherAsk, respond: oneshot::Sender<GatherReply>) {
         let now = time_since(self.start);
-        let pool = ask.pool.clone();
-        let mut pools = self.pools.borrow_mut();
-        let row = pools.get_mut(&pool).filter(|it| !it.endpoints.is_empty());
+        let shard = ask.shard.clone();
+        let mut rows = self.shards.borrow_mut();
+        let row = rows.get_mut(&shard).filter(|it| !it.endpoints.is_empty());
         let Some(row) = row else {
             log::info!(
-                request = ask.request.as_str(), pool:% = pool;
-                "[relay] stage refused: the pool has no endpoint"
+                request = ask.request.as_str(), pool:% = shard.pool, shard:% = shard;
+                "[relay] stage refused: the shard has no endpoint"
             );
             // The asker may have left.
-            let _ = respond.send(GatherReply::failed(PieceError::Failed));
+            let _ = respond.send(GatherReply::failed(PieceError::Down));
             return;
         };
         let first = self.pieces.get();
         self.pieces.set(first + u64::from(ask.count));
         row.add(now, first, ask, respond);
-        drop(pools);
-        self.pump(&pool);
+        drop(rows);
+        self.pump(&shard);
     }
 
     /// Starts the calls that can be made now.
-    fn pump(&self, pool: &PoolName) {
+    fn pump(&self, shard: &Shard) {
         let now = time_since(self.start);
-        let mut pools = self.pools.borrow_mut();
-        let Some(row) = pools.get_mut(pool) else {
+        let mut rows = self.shards.borrow_mut();
+        let Some(row) = rows.get_mut(shard) else {
             return;
         };
+        if shard.domain.is_some() && row.gather.is_down(now) {
+            row.fail_all(PieceError::Down);
+        }
         for (group, wait) in row.gather.expire(now) {
             row.expire(group, wait);
         }
         if !row.freeing.is_empty() && !std::mem::replace(&mut row.flushes, true) {
-            let (own, pool) = (self.owned(), pool.clone());
+            let (own, shard) = (self.owned(), shard.clone());
             tokio::task::spawn_local(async move {
                 sleep(FREE_EVERY).await;
-                own.flush_freed(&pool).await;
+                own.flush_freed(&shard).await;
             });
         }
         while let Some(call) = row.gather.next(now) {
             let endpoint = row.endpoints[&call.endpoint].clone();
             let pieces = row.start(&call);
-            let (own, pool) = (self.owned(), pool.clone());
-            tokio::task::spawn_local(async move { own.call(pool, endpoint, call, pieces).await });
+            let (own, shard) = (self.owned(), shard.clone());
+            tokio::task::spawn_local(async move { own.call(shard, endpoint, call, pieces).await });
         }
         let wake =
             row.gather.wake(now).filter(|it| row.wakes.is_none_or(|old| old <= now || *it < old));
         if let Some(at) = wake {
             row.wakes = Some(at);
-            let (own, pool) = (self.owned(), pool.clone());
+            let (own, shard) = (self.owned(), shard.clone());
             tokio::task::spawn_local(async move {
                 sleep(Duration::from_millis(at.since(now).0)).await;
-                own.pump(&pool);
+                own.pump(&shard);
             });
         }
     }
 
     async fn call(
         self: Rc<Self>,
-        pool: PoolName,
+        shard: Shard,
         endpoint: Endpoint,
         call: GatherCall,
         pieces: Vec<Waiting>,
     ) {
         let began = time_since(self.start);
-        let expected = self.with(&pool, |row| row.gather.duration(call.pieces.len()));
+        let expected = self.with(&shard, |row| row.gather.duration(call.pieces.len()));
         let patience = expected.map_or(Millis(0), |it| Millis(it.0 * PATIENCE)) + PATIENCE_MORE;
         let items: Vec<PieceItem> = pieces.iter().map(|it| it.item(began)).collect();
         let sent = self.run(&endpoint, &items);
@@ -221,17 +231,17 @@
         let made = results.iter().filter(|it| it.is_ok()).count();
         let failed = results.iter().find_map(|it| it.as_ref().err());
         log::info!(
-            pool:% = pool, endpoint = endpoint.name.as_str(), pieces = call.pieces.len(),
+            pool:% = shard.pool, shard:% = shard, endpoint = endpoint.name.as_str(), pieces = call.pieces.len(),
             took_ms = now.since(began).0, outcome = outcome, made = made, failed:? = failed,
-            used = self.with(&pool, |row| row.gather.used(&endpoint.name)).unwrap_or_default(),
-            waiting = self.with(&pool, |row| row.gather.len()).unwrap_or_default();
+            used = self.with(&shard, |row| row.gather.used(&endpoint.name)).unwrap_or_default(),
+            waiting = self.with(&shard, |row| row.gather.len()).unwrap_or_default();
             "[relay] pieces called"
         );
-        let keeps = self.with(&pool, |row| row.finish(now, &call, &pieces, answer));
+        let keeps = self.with(&shard, |row| row.finish(now, &call, &pieces, answer));
         if let Some(keeps) = keeps {
-            self.pump(&pool);
+            self.pump(&shard);
             sleep(Duration::from_millis(keeps.0)).await;
-            self.with(&pool, |row| row.run_out(&pieces));
+            self.with(&shard, |row| row.run_out(&pieces));
         }
     }
 
@@ -258,14 +268,14 @@
     }
 
     /// Tells the endpoints which results aren't needed any more.
-    async fn flush_freed(&self, pool: &PoolName) {
-        let freed = self.with(pool, |row| {
+    async fn flush_freed(&self, shard: &Shard) {
+        let freed = self.with(shard, |row| {
             row.flushes = false;
             std::mem::take(&mut row.freeing)
         });
         let frees = freed.unwrap_or_default().into_iter().map(|(name, handles)| {
-            let (own, pool) = (self.owned(), pool.clone());
-            async move { own.free_at(&pool, name, handles).await }
+            let (own, shard) = (self.owned(), shard.clone());
+            async move { own.free_at(&shard, name, handles).await }
         });
         let mut running: JoinSet<()> = JoinSet::new();
         for free in frees {
@@ -274,8 +284,8 @@
         running.join_all().await;
     }
 
-    async fn free_at(&self, pool: &PoolName, name: EndpointName, handles: Vec<Handle>) {
-        let endpoint = self.with(pool, |row| row.endpoints.get(&name).cloned()).flatten();
+    async fn free_at(&self, shard: &Shard, name: EndpointName, handles: Vec<Handle>) {
+        let endpoint = self.with(shard, |row| row.endpoints.get(&name).cloned()).flatten();
         let Some(endpoint) = endpoint else {
             return;
         };
@@ -293,8 +303,8 @@
         };
         match problem {
             None => {
-                self.with(pool, |row| row.gone(&handles));
-                self.pump(pool);
+                self.with(shard, |row| row.gone(&handles));
+                self.pump(shard);
             }
             // The endpoint drops them by itself when their time has run out.
             Some(problem) => log::info!(
@@ -320,8 +330,8 @@
             .expect("the head is valid")
     }
 
-    fn with<T>(&self, pool: &PoolName, act: impl FnOnce(&mut PoolRow) -> T) -> Option<T> {
-        self.pools.borrow_mut().get_mut(pool).map(act)
+    fn with<T>(&self, shard: &Shard, act: impl FnOnce(&mut ShardRow) -> T) -> Option<T> {
+        self.shards.borrow_mut().get_mut(shard).map(act)
     }
 
     fn owned(&self) -> Rc<Self> {
--- a/crates/daemon/src/relay/links.rs
+++ b/crates/daemon/src/relay/links.rs
@@ -3,7 +3,7 @@
 use {
     super::{GatherAsk, GatherReply, Made, PieceError},
     crate::peers::MAX_MESSAGE,
-    coord::ids::PoolName,
+    coord::relay::Shard,
     jsonrpsee::{
         core::client::ClientT,
         rpc_params,
@@ -68,15 +68,9 @@
         Self { secret, clients: RefCell::default(), avoided: RefCell::default() }
     }
 
-    /// The instances in the order in which they are asked: those that could not
-    /// be reached lately come last.
-    pub fn order(&self, holders: &[SocketAddr]) -> Vec<SocketAddr> {
-        let now = Instant::now();
-        let avoided = self.avoided.borrow();
-        let is_avoided = |it: &SocketAddr| avoided.get(it).is_some_and(|until| *until > now);
-        let mut order = holders.to_vec();
-        order.sort_by_key(is_avoided);
-        order
+    /// Whether an instance could not be reached lately.
+    pub fn is_avoided(&self, holder: SocketAddr) -> bool {
+        self.avoided.borrow().get(&holder).is_some_and(|until| *until > Instant::now())
     }
 
     /// Has an instance gather the pieces of an ask.
@@ -102,11 +96,11 @@
     }
 
     /// Has an instance give results up; false if it can't be reached.
-    pub async fn free(&self, to: SocketAddr, pool: &PoolName, results: &[Made]) -> bool {
+    pub async fn free(&self, to: SocketAddr, shard: &Shard, results: &[Made]) -> bool {
         let Some(client) = self.client(to).await else {
             return false;
         };
-        let params = rpc_params![&*self.secret, pool, results];
+        let params = rpc_params![&*self.secret, shard, results];
         let freed = client.request::<(), _>("gather_free", params).await;
         if let Err(err) = &freed {
             log::info!(peer:% = to, results = results.len(), error:% = err; "[relay] results not freed");
--- a/crates/daemon/src/relay/pieces.rs
+++ b/crates/daemon/src/relay/pieces.rs
@@ -3,7 +3,8 @@
 use {
     super::PieceInput,
     coord::{
-        ids::{Bytes, DomainName, EndpointName, PoolName},
+        ids::{Bytes, DomainName, EndpointName},
+        relay::Shard,
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -28,7 +29,7 @@
 pub struct GatherAsk {
     /// Drawn at random; names the ask when it is cancelled.
     pub id: u64,
-    pub pool: PoolName,
+    pub shard: Shard,
     pub request: String,
     /// The position of the stage in its route.
     pub stage: usize,
@@ -85,6 +86,8 @@
     Room,
     #[snafu(display("the endpoint failed"))]
     Failed,
+    #[snafu(display("no endpoint answers"))]
+    Down,
     #[snafu(display("nobody gathers for the pool"))]
     Unreachable,
 }
@@ -93,5 +96,5 @@
 pub enum GatherEvent {
     Ask { ask: Box<GatherAsk>, respond: oneshot::Sender<GatherReply> },
     Cancel(u64),
-    Free { pool: PoolName, results: Vec<Made> },
+    Free { shard: Shard, results: Vec<Made> },
 }
--- a/crates/daemon/src/relay/pool.rs
+++ b/crates/daemon/src/relay/pool.rs
@@ -1,4 +1,4 @@
-//! The gatherer of one pool: who asked for which piece, and which results take
+//! The gatherer of one shard: who asked for which piece, and which results take
 //! up room.
 
 use {
@@ -39,8 +39,8 @@
     tries: u32,
 }
 
-/// The gatherer of one pool.
-pub struct PoolRow {
+/// The gatherer of one shard.
+pub struct ShardRow {
     pub gather: Gather,
     pub endpoints: IndexMap<EndpointName, Endpoint>,
     pieces: HashMap<PieceId, Waiting>,
@@ -99,8 +99,8 @@
     }
 }
 
-impl PoolRow {
-    /// A pool without endpoints.
+impl ShardRow {
+    /// A shard without endpoints.
     pub fn new(terms: BatchTerms, start: Instant) -> Self {
         Self {
             gather: Gather::new(terms),
@@ -121,9 +121,14 @@
         let names = endpoints.iter().map(|it| (it.name.clone(), it.domain.clone())).collect();
         self.gather.reload(terms, &names);
         if endpoints.is_empty() {
-            for id in self.pieces.keys().copied().collect::<Vec<_>>() {
-                self.fail(id, PieceError::Failed);
-            }
+            self.fail_all(PieceError::Down);
+        }
+    }
+
+    /// Fails all that waits.
+    pub fn fail_all(&mut self, err: PieceError) {
+        for id in self.pieces.keys().copied().collect::<Vec<_>>() {
+            self.fail(id, err);
         }
     }
 
@@ -268,7 +273,7 @@
     pub fn expire(&mut self, group: GroupId, wait: Millis) {
         if let Some(row) = self.asks.get(&group.0).cloned() {
             log::info!(
-                request = row.ask.request.as_str(), pool:% = row.ask.pool,
+                request = row.ask.request.as_str(), pool:% = row.ask.shard.pool, shard:% = row.ask.shard,
                 waiting = self.gather.len(), wait_ms = wait.0;
                 "[relay] pieces given up, the queue is too long"
             );
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        Dialect, GatherEvent, Phase, RelayBounds, RelaySettings, Relayed, counts::Counts,
+        Dialect, GatherEvent, Phase, RelayBounds, RelaySettings, Relayed, ask::Ask, counts::Counts,
         gatherer::Gatherers, links::Links, upstream::Upstream, view::View,
     },
     coord::{
         ids::{EndpointName, PoolName, StageName},
-        relay::{Outlook, Placer},
+        relay::{Outlook, Placer, Shard},
         router::{Estimator, RetryBudget},
         tables::Tables,
         time::{Millis, Time},
@@ -145,14 +145,26 @@
         self.runs.borrow().likely(pool, &self.run, size).unwrap_or(RUN_DEFAULT)
     }
 
-    /// Takes in how long pieces of a pool wait.
-    pub fn note_wait(&self, pool: &PoolName, priority: u8, wait: Millis) {
-        self.outlook.borrow_mut().report(self.now(), pool, priority, wait);
+    /// Takes in how long pieces of a shard wait.
+    pub fn note_wait(&self, shard: &Shard, priority: u8, wait: Millis) {
+        self.outlook.borrow_mut().report(self.now(), shard, priority, wait);
     }
 
-    /// How long a piece of a pool is expected to wait.
-    pub fn wait(&self, pool: &PoolName, priority: u8) -> Millis {
-        self.outlook.borrow().wait(self.now(), pool, priority)
+    /// Takes in that no endpoint of a shard answers.
+    pub fn avoid(&self, shard: &Shard) {
+        self.outlook.borrow_mut().avoid(self.now(), shard);
+    }
+
+    /// The shards of a pool in the order in which a request asks them.
+    pub fn shards(&self, pool: &PoolName, ask: &Ask) -> Vec<Shard> {
+        let shards = self.view().shards(pool).to_vec();
+        let (home, subject) = (ask.home.as_ref(), ask.id.as_bytes());
+        self.outlook.borrow().order(self.now(), shards, home, ask.priority, subject)
+    }
+
+    /// How long a piece of a shard is expected to wait.
+    pub fn wait(&self, shard: &Shard, priority: u8) -> Millis {
+        self.outlook.borrow().wait(self.now(), shard, priority)
     }
 
     /// Earns a part of a retry by a first attempt at a pool.
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -3,8 +3,7 @@
 use {
     super::{GatherAsk, GatherReply, Handle, Made, PieceError, PieceInput, ask::Ask, relay::Relay},
     coord::{
-        ids::PoolName,
-        relay::{Plan, Progress},
+        relay::{Plan, Progress, Shard},
         time::Millis,
     },
     std::{
@@ -18,12 +17,15 @@
 /// How much earlier than needed stages aim to be done, for what varies behind
 /// them.
 const MARGIN: Duration = Duration::from_millis(100);
-/// The most instances that are asked to gather for one stage.
+/// The most instances that are asked to gather for one shard, the most shards of
+/// one stage, and the most asks of one stage in all.
 const MOST_HOLDERS: usize = 2;
+const MOST_SHARDS: usize = 2;
+const MOST_ASKS: usize = 3;
 
 /// The results of one stage, and who gathered them.
 struct StageMade {
-    pool: PoolName,
+    shard: Shard,
     by: SocketAddr,
     results: Vec<Made>,
 }
@@ -60,12 +62,12 @@
         };
         let relay = self.relay.clone();
         tokio::task::spawn_local(async move {
-            let StageMade { pool, by, results } = made;
+            let StageMade { shard, by, results } = made;
             // Endpoints are told by the gatherer, who counts their room, or else
             // from here.
-            let told = by != relay.peer && relay.links.free(by, &pool, &results).await;
+            let told = by != relay.peer && relay.links.free(by, &shard, &results).await;
             if !told {
-                relay.gatherers.free(&pool, results);
+                relay.gatherers.free(&shard, results);
             }
         });
     }
@@ -119,7 +121,8 @@
         let pool = &ask.route.stages[stage].pool;
         let terms = view.catalog().services.get(pool).and_then(|it| it.batch);
         let count = ask.counts[stage];
-        let wait = relay.wait(pool, ask.priority);
+        let first = relay.shards(pool, ask).into_iter().next();
+        let wait = first.map_or(Millis(0), |it| relay.wait(&it, ask.priority));
         terms.filter(|_| count > 0).map_or(Millis(0), |it| wait + it.full())
     };
     (0..ask.route.stages.len()).map(time).collect()
@@ -134,7 +137,7 @@
             results.last.contains(&stage) || followers.any(|it| results.stages[it].is_none());
         let made = results.stages[stage].as_mut().filter(|_| !needed);
         if let Some(made) = made {
-            let rest = StageMade { pool: made.pool.clone(), by: made.by, results: Vec::new() };
+            let rest = StageMade { shard: made.shard.clone(), by: made.by, results: Vec::new() };
             results.give_up(stage);
             results.stages[stage] = Some(rest);
         }
@@ -146,7 +149,8 @@
     ask: GatherAsk,
     target: Instant,
     due: Instant,
-    holders: Vec<SocketAddr>,
+    /// Whom to ask for which shard, in order.
+    asks: Vec<(Shard, SocketAddr)>,
 }
 
 impl Job {
@@ -159,9 +163,18 @@
             false => PieceInput::Results(made.flat_map(StageMade::handles).collect()),
         };
         let tail = Duration::from_millis(tail.0);
+        let shards = relay.shards(&row.pool, ask);
+        let holders = |shard: &Shard| {
+            let holders = view.holders(shard);
+            let near = holders.iter().take(MOST_HOLDERS).map(|it| (shard.clone(), *it));
+            near.collect::<Vec<_>>()
+        };
+        let mut asks: Vec<_> = shards.iter().take(MOST_SHARDS).flat_map(holders).collect();
+        asks.sort_by_key(|(_, it)| relay.links.is_avoided(*it));
+        let whole = Shard { pool: row.pool.clone(), domain: None };
         let gather = GatherAsk {
             id: rand::random(),
-            pool: row.pool.clone(),
+            shard: shards.first().cloned().unwrap_or(whole),
             request: ask.id.clone(),
             stage,
             count: ask.counts[stage],
@@ -176,41 +189,56 @@
             ask: gather,
             target: ask.target.checked_sub(tail + MARGIN).unwrap_or(ask.received),
             due: ask.until.checked_sub(tail).unwrap_or(ask.received),
-            holders: view.holders(&row.pool),
+            asks,
         }
     }
 
     async fn run(self, relay: Rc<Relay>) -> Result<StageMade, PieceError> {
         let began = Instant::now();
-        let pool = self.ask.pool.clone();
+        let (mut shard, mut by) = (self.ask.shard.clone(), relay.peer);
         if self.ask.count == 0 {
-            return Ok(StageMade { pool, by: relay.peer, results: Vec::new() });
+            return Ok(StageMade { shard, by, results: Vec::new() });
         }
         let mut answer = Err(PieceError::Unreachable);
-        let mut by = relay.peer;
-        for holder in relay.links.order(&self.holders).into_iter().take(MOST_HOLDERS) {
-            by = holder;
-            let reply = self.ask_holder(&relay, holder).await;
-            relay.note_wait(&pool, self.ask.priority, reply.wait);
+        let mut down: Option<&Shard> = None;
+        for (asked, holder) in self.asks.iter().take(MOST_ASKS) {
+            if down == Some(asked) {
+                continue;
+            }
+            (shard, by) = (asked.clone(), *holder);
+            let reply = self.ask_holder(&relay, &shard, by).await;
+            relay.note_wait(&shard, self.ask.priority, reply.wait);
             answer = reply.answer;
-            if !matches!(answer, Err(PieceError::Unreachable)) {
-                break;
+            match answer {
+                Err(PieceError::Unreachable) => {}
+                Err(PieceError::Down) => {
+                    relay.avoid(&shard);
+                    down = Some(asked);
+                }
+                _ => break,
             }
         }
         let outcome = answer.as_ref().map_or_else(ToString::to_string, |_| "done".to_owned());
         log::info!(
-            request = self.ask.request.as_str(), stage = self.ask.stage, pool:% = pool,
+            request = self.ask.request.as_str(), stage = self.ask.stage, pool:% = shard.pool,
+            shard:% = shard,
             pieces = self.ask.count, gathered_by:% = by, outcome = outcome.as_str(),
             took_ms = began.elapsed().as_millis() as u64;
             "[relay] stage ended"
         );
-        answer.map(|results| StageMade { pool, by, results })
+        answer.map(|results| StageMade { shard, by, results })
     }
 
-    async fn ask_holder(&self, relay: &Rc<Relay>, holder: SocketAddr) -> GatherReply {
+    async fn ask_holder(
+        &self,
+        relay: &Rc<Relay>,
+        shard: &Shard,
+        holder: SocketAddr,
+    ) -> GatherReply {
         let now = Instant::now();
         let left = |until: Instant| Millis(until.saturating_duration_since(now).as_millis() as u64);
-        let ask = GatherAsk { target: left(self.target), due: left(self.due), ..self.ask.clone() };
+        let (target, due) = (left(self.target), left(self.due));
+        let ask = GatherAsk { shard: shard.clone(), target, due, ..self.ask.clone() };
         match holder == relay.peer {
             true => relay.gatherers.ask(ask).await,
             false => relay.links.ask(holder, ask).await,
--- a/crates/daemon/src/relay/view.rs
+++ b/crates/daemon/src/relay/view.rs
@@ -4,11 +4,11 @@
     coord::{
         catalog::{ApiKey, Catalog, RouteIndex},
         ids::{PoolName, TeamName},
-        relay::{entries, holders},
+        relay::{Shard, entries, holders, is_split, shards},
         tables::{Endpoint, Tables},
     },
     indexmap::IndexMap,
-    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc},
 };
 
 /// One state of the tables, with its indexes.
@@ -19,6 +19,10 @@
     pools: HashMap<PoolName, Vec<Endpoint>>,
     /// The number of instances that relay.
     pub entries: usize,
+    /// The shards of the pools of stages.
+    shards: HashMap<PoolName, Vec<Shard>>,
+    /// Who gathers, for the shards that were looked up.
+    holders: RefCell<HashMap<Shard, Rc<[SocketAddr]>>>,
 }
 
 impl View {
@@ -36,7 +40,14 @@
         }
         let routes = RouteIndex::new(&tables.catalog);
         let entries = entries(&tables).len();
-        Self { routes, keys, pools, entries, tables }
+        let split = is_split(&tables);
+        let gathered = tables.catalog.services.iter().filter(|(_, it)| it.batch.is_some());
+        let shards_of = |pool: &PoolName| {
+            let endpoints = pools.get(pool).map_or(&[][..], Vec::as_slice);
+            (pool.clone(), shards(pool, endpoints, split))
+        };
+        let shards = gathered.map(|(pool, _)| shards_of(pool)).collect();
+        Self { routes, keys, pools, entries, shards, holders: RefCell::default(), tables }
     }
 
     /// The catalog in force.
@@ -64,9 +75,16 @@
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
 
-    /// The instances that gather for a pool, the first choice first.
-    pub fn holders(&self, pool: &PoolName) -> Vec<SocketAddr> {
-        holders(&self.tables, pool)
+    /// The shards of a pool of stages.
+    pub fn shards(&self, pool: &PoolName) -> &[Shard] {
+        self.shards.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// The instances that gather for a shard, the first choice first.
+    pub fn holders(&self, shard: &Shard) -> Rc<[SocketAddr]> {
+        let mut known = self.holders.borrow_mut();
+        let row = known.entry(shard.clone());
+        row.or_insert_with_key(|it| holders(&self.tables, it).into()).clone()
     }
 }
 
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -5,13 +5,15 @@
 use {
     coord::{
         catalog::Repeat,
-        ids::CatalogVersion,
+        ids::{Bytes, CatalogVersion},
+        relay::Shard,
         tables::{Endpoint, EndpointState, Tables},
+        time::Millis,
     },
-    daemon::relay::Phase,
+    daemon::relay::{GatherAsk, GatherEvent, Phase, PieceError, PieceInput},
     relaying::{
-        answer, call, catalog, connect, endpoint, exchange, good, read_answer, request, route,
-        scripted, sound, stage, start, unrun, with_team,
+        answer, call, catalog, connect, endpoint, exchange, good, member, read_answer, request,
+        route, scripted, sound, stage, start, start_beside, unrun, with_team,
     },
     standin::{Scripted, Step},
     std::{
@@ -20,6 +22,7 @@
         thread::sleep,
         time::{Duration, Instant},
     },
+    tokio::sync::oneshot,
 };
 
 fn one(backend: &Scripted) -> Vec<Endpoint> {
@@ -398,3 +401,41 @@
     assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
     assert!(backend.seen().is_empty());
 }
+
+#[test]
+fn pieces_of_a_domain_whose_endpoints_all_fail_are_handed_back_at_once() {
+    let backend = sound("fine");
+    let mut staged = route(Repeat::Stream);
+    staged.stages = vec![stage(&[])];
+    let gone = "127.0.0.2:9".parse().expect("an address");
+    let near = Endpoint { domain: "d".parse().expect("a name"), ..endpoint("s", "stage", gone) };
+    let far = Endpoint { domain: "f".parse().expect("a name"), ..endpoint("t", "stage", gone) };
+    let endpoints = [endpoint("e", "app", backend.addr), near, far];
+    let others: Vec<_> = (2..40).map(|it| member(it, if it < 20 { "d" } else { "f" })).collect();
+    let relay = start_beside(&others, catalog(staged), &endpoints);
+    let shard = Shard {
+        pool: "stage".parse().expect("a name"),
+        domain: Some("d".parse().expect("a name")),
+    };
+    let ask = GatherAsk {
+        id: 1,
+        shard,
+        request: "r".to_owned(),
+        stage: 0,
+        count: 1,
+        input: PieceInput::Source("doc".to_owned()),
+        priority: 1,
+        size: Bytes(1),
+        home: None,
+        target: Millis(1000),
+        due: Millis(5000),
+    };
+
+    let (respond, answer) = oneshot::channel();
+    let began = Instant::now();
+    relay.asks.send(GatherEvent::Ask { ask: Box::new(ask), respond }).expect("it gathers");
+    let reply = answer.blocking_recv().expect("a reply");
+
+    assert_eq!(reply.answer, Err(PieceError::Down));
+    assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+}
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -11,7 +11,7 @@
         tables::{Endpoint, EndpointState, Member, Tables},
         time::Millis,
     },
-    daemon::relay::{Relay, RelayContext, RelaySettings, Relayed, serve},
+    daemon::relay::{GatherEvent, Relay, RelayContext, RelaySettings, Relayed, serve},
     standin::{Script, Scripted, Seen, Step, header},
     std::{
         io::{Read, Write},
@@ -21,7 +21,10 @@
         time::Duration,
     },
     tokio::{
-        sync::{mpsc::unbounded_channel, watch},
+        sync::{
+            mpsc::{UnboundedSender, unbounded_channel},
+            watch,
+        },
         task::LocalSet,
     },
 };
@@ -34,6 +37,8 @@
     pub addr: SocketAddr,
     pub relayed: Arc<Relayed>,
     pub tables: watch::Sender<Arc<Tables>>,
+    /// What peers ask its gatherers.
+    pub asks: UnboundedSender<GatherEvent>,
 }
 
 /// An answer as it came.
@@ -122,30 +127,40 @@
     }
 }
 
+/// An entry instance in a domain that nothing listens for.
+pub fn member(id: u64, domain: &str) -> Member {
+    Member {
+        id: NodeId(id),
+        name: format!("n{id}").parse().expect("a name"),
+        domain: domain.parse().expect("a name"),
+        peer: ([127, 0, 0, 2], id as u16).into(),
+        incarnation: Incarnation(1),
+        disk: false,
+    }
+}
+
 /// Starts a relay before endpoints.
 pub fn start(catalog: Catalog, endpoints: &[Endpoint]) -> Fixture {
+    start_beside(&[], catalog, endpoints)
+}
+
+/// Starts a relay beside other instances and before endpoints.
+pub fn start_beside(members: &[Member], catalog: Catalog, endpoints: &[Endpoint]) -> Fixture {
     let mut tables = Tables { catalog: Arc::new(catalog), ..Tables::default() };
     tables.endpoints = endpoints.iter().map(|it| (it.name.clone(), it.clone())).collect();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.set_nonblocking(true).expect("a listener can be non-blocking");
     let addr = listener.local_addr().expect("a bound listener has an address");
-    let member = Member {
-        id: NodeId(1),
-        name: "a".parse().expect("a name"),
-        domain: "d".parse().expect("a name"),
-        peer: addr,
-        incarnation: Incarnation(1),
-        disk: false,
-    };
-    tables.roster.insert(member.id, member);
+    let own = Member { peer: addr, ..member(1, "d") };
+    tables.roster = members.iter().chain([&own]).map(|it| (it.id, it.clone())).collect();
     let (tables, followed) = watch::channel(Arc::new(tables));
     let relayed = Arc::new(Relayed::default());
     let shared = relayed.clone();
+    let (asks, asked) = unbounded_channel();
     thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.expect("the runtime starts");
         LocalSet::new().block_on(&runtime, async move {
-            let (_gatherers, asked) = unbounded_channel();
             let relay = Relay::start(RelayContext {
                 settings: RelaySettings::new(addr),
                 tables: followed,
@@ -157,7 +172,7 @@
             serve(relay, listener, None).await;
         });
     });
-    Fixture { addr, relayed, tables }
+    Fixture { addr, relayed, tables, asks }
 }
 
 /// An endpoint that answers each request with a body.
