Test that a reader of logs that never reads costs lines and no time

20,000 refused requests at an instance whose output is a pipe that nobody reads: none takes 500 ms, and what was dropped is told once the pipe is read.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -4,7 +4,7 @@
     fs::File,
     io::{BufRead, BufReader},
     path::Path,
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
 };
@@ -20,19 +20,31 @@
     /// # Panics
     /// If it can't be started or prints nothing.
     pub fn start(command: &mut Command, errors: Option<&Path>) -> (Self, String) {
+        let (mut proc, mut output) = Self::start_open(command, errors);
+        let mut line = String::new();
+        let read = output.read_line(&mut line);
+        if read.is_err() || line.is_empty() {
+            let status = proc.0.wait();
+            panic!("{command:?} printed nothing and ended with {status:?}");
+        }
+        (proc, line)
+    }
+
+    /// Starts a process whose output is read by the caller, or isn't.
+    ///
+    /// # Panics
+    /// If it can't be started.
+    pub fn start_open(
+        command: &mut Command,
+        errors: Option<&Path>,
+    ) -> (Self, BufReader<ChildStdout>) {
         let errors = errors.map_or_else(Stdio::null, |path| {
             File::options().create(true).append(true).open(path).expect("a log file").into()
         });
         let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(errors).spawn();
         let mut child = child.expect("the process starts");
         let output = child.stdout.take().expect("the output is piped");
-        let mut line = String::new();
-        let read = BufReader::new(output).read_line(&mut line);
-        if read.is_err() || line.is_empty() {
-            let status = child.wait();
-            panic!("{command:?} printed nothing and ended with {status:?}");
-        }
-        (Self(child), line)
+        (Self(child), BufReader::new(output))
     }
 
     /// The process id.
--- /dev/null
+++ b/crates/harness/tests/logs.rs
@@ -0,0 +1,79 @@
+//! Log lines on standard output whose reader doesn't read.
+
+mod fixture;
+
+use {
+    fixture::ask,
+    harness::{Addrs, Caller, DaemonSpec, Operator, Proc, TempDir, WIDE, wait_until},
+    std::{
+        io::{BufRead, BufReader},
+        process::ChildStdout,
+        time::{Duration, Instant},
+    },
+};
+
+/// More requests than lines that wait for the writer and fit into a pipe.
+const REQUESTS: usize = 20_000;
+/// A request that is refused by its route alone never takes so long, unless it
+/// waits for something.
+const HELD: Duration = Duration::from_millis(500);
+
+/// An instance that logs to a pipe, which is read up to its addresses.
+fn logging(folder: &TempDir) -> (Proc, BufReader<ChildStdout>, Addrs) {
+    let spec = DaemonSpec {
+        name: "a".to_owned(),
+        domain: "north".to_owned(),
+        data: Some(folder.path().join("a")),
+        args: ["--log-format", "json"].map(ToOwned::to_owned).to_vec(),
+        ..DaemonSpec::default()
+    };
+    let (proc, mut output) = Proc::start_open(&mut spec.command(), None);
+    let mut line = String::new();
+    let addrs = loop {
+        line.clear();
+        output.read_line(&mut line).expect("the daemon prints its addresses");
+        if let Ok(addrs) = serde_json::from_str(&line) {
+            break addrs;
+        }
+    };
+    (proc, output, addrs)
+}
+
+#[test]
+fn a_reader_that_never_reads_costs_lines_and_no_time() {
+    let folder = TempDir::new();
+    let (proc, mut output, addrs) = logging(&folder);
+    Operator::new(addrs.operator).found().expect("it founds a system");
+    let caller = Caller::new(addrs.caller);
+    wait_until("it is ready", WIDE, || caller.is_ready());
+    let request = ask("nowhere", "x");
+
+    let times: Vec<Duration> = (0..REQUESTS)
+        .map(|_| {
+            let began = Instant::now();
+            assert!(caller.ask(&request).failed().is_some(), "there is no such route");
+            began.elapsed()
+        })
+        .collect();
+    let told = read_until(&mut output, "lines dropped");
+
+    let held = times.iter().filter(|it| **it > HELD).count();
+    assert_eq!(held, 0, "the longest took {:?}", times.iter().max());
+    assert!(told.is_some_and(|it| it.contains("\"count\":")), "what was dropped is counted");
+    proc.kill();
+}
+
+/// Reads lines up to one with these words.
+fn read_until(output: &mut BufReader<ChildStdout>, words: &str) -> Option<String> {
+    let end = Instant::now() + WIDE;
+    while Instant::now() < end {
+        let mut line = String::new();
+        if output.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line.contains(words) {
+            return Some(line);
+        }
+    }
+    None
+}
