Bound heads and connections of every listener

Cause: operators' and endpoints' listeners ran on tiny_http, which reads a header line of any length into memory and takes any number of connections; the relay's and the platform's control listener bounded no connections.

Change: they are served by hyper, with one accept loop for all listeners but the callers', which closes connections beyond its bound at once and says so. The thread, the remade server and the socket options around tiny_http go, as does the library.

Before: the new test of input.rs failed, a head of 400 KB was answered with 200. After: input, access and the daemon's and platform's tests pass.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,6 +1,6 @@
 //! Towards callers: JSON over HTTP, whole answers or server-sent events.
 //!
-//! This listener is served by `hyper`, since the bounds that it needs (header
+//! Listeners are served by `hyper`, since the bounds that they need (header
 //! size, read time, connections, noticing a caller who has gone) can't be had
 //! around `tiny_http`; see docs/notes/caller-http.md.
 
--- a/crates/daemon/src/endpoints/listener.rs
+++ b/crates/daemon/src/endpoints/listener.rs
@@ -6,17 +6,17 @@
         operators::{Handled, HttpService, is_allowed},
     },
     coord::wire::Announcement,
+    hyper::{Method, http::request::Parts},
     std::{net::TcpListener, sync::Arc},
-    tiny_http::{Method, Request},
 };
 
 /// Serves announcing endpoints on a listener.
 pub fn listen(listener: TcpListener, secret: Arc<str>, inbox: Inbox) {
-    let handle = move |request: &Request, body: String| -> Handled {
+    let handle = move |request: &Parts, body: String| -> Handled {
         if !is_allowed(request, &secret) {
             return text(401, "the secret is wrong or missing\n");
         }
-        if request.method() != &Method::Post || request.url() != "/v1/announce" {
+        if request.method != Method::POST || request.uri.path() != "/v1/announce" {
             return text(404, "there is no such page\n");
         }
         match serde_json::from_str::<Announcement>(&body) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon of one instance as a library: the core loop and the I/O around
 //! it. Other front doors are started beside its own with [`run::Extra`].
 
+pub mod accept;
 pub mod callers;
 mod core;
 pub mod disk;
--- a/crates/daemon/src/operators/http.rs
+++ b/crates/daemon/src/operators/http.rs
@@ -1,29 +1,31 @@
-//! Plain HTTP by `tiny_http`, for listeners that only operators and endpoints
-//! reach, with the bounds that the library lacks.
+//! Plain HTTP for listeners that only operators and endpoints reach.
 
 use {
-    std::{
-        io::{ErrorKind, Read},
-        net::{TcpListener, TcpStream},
-        os::fd::AsFd,
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
-        thread,
-        time::Duration,
+    crate::accept::accept,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        Request, Response,
+        body::{Bytes, Incoming},
+        header::{AUTHORIZATION, CONTENT_TYPE},
+        http::request::Parts,
+        server::conn::http1,
+        service::service_fn,
     },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{convert::Infallible, net::TcpListener, sync::Arc, thread, time::Duration},
     subtle::ConstantTimeEq,
-    tiny_http::{Header, Request, Response, Server},
+    tokio::{net::TcpStream, sync::Semaphore, task::spawn_blocking, time::timeout},
 };
 
 /// The longest body, in bytes.
-const MAX_BODY: u64 = 4 * 1024 * 1024;
-/// How long a connection may be silent. Set on the listening socket, whose
-/// options accepted sockets inherit.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+/// The longest head, in bytes; heads of tools and endpoints have a few hundred.
+const MAX_HEAD: usize = 64 * 1024;
+/// How long a head or a body may take, and a connection be silent.
 const READ_TIME: Duration = Duration::from_secs(5);
-/// How often a server whose accept loop has ended is looked for.
-const CHECK: Duration = Duration::from_millis(200);
+/// Connections at one time: endpoints keep one open each between
+/// announcements, and tools a few.
+const MAX_CONNECTIONS: usize = 1024;
 /// Requests handled at one time.
 const THREADS: usize = 8;
 
@@ -35,7 +37,7 @@
 }
 
 /// Answers a request with its body.
-pub type Handler = Box<dyn Fn(&Request, String) -> Handled + Send + Sync>;
+pub type Handler = Box<dyn Fn(&Parts, String) -> Handled + Send + Sync>;
 
 /// A service over HTTP.
 pub struct HttpService {
@@ -43,109 +45,106 @@
     pub handle: Handler,
 }
 
+/// A service that runs, with what it has left of its bounds.
+struct Running {
+    service: HttpService,
+    threads: Semaphore,
+}
+
 impl HttpService {
-    /// Serves a listener until the process ends. The library's accept loop
-    /// ends on any error, also when it idles for the receive timeout, so the
-    /// server is made again on the same listener.
+    /// Serves a listener until the process ends.
+    ///
+    /// # Panics
+    /// If the thread or its runtime can't be started.
     pub fn start(self, listener: TcpListener) {
-        let service = Arc::new(self);
-        let builder = thread::Builder::new().name(service.part.to_owned());
-        let started = builder.spawn(move || service.keep(&listener));
+        let builder = thread::Builder::new().name(self.part.to_owned());
+        let running = Arc::new(Running { service: self, threads: Semaphore::new(THREADS) });
+        let started = builder.spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .max_blocking_threads(THREADS)
+                .build();
+            runtime.expect("the runtime starts").block_on(running.serve(listener))
+        });
         started.expect("the listener's thread starts");
     }
+}
 
-    fn keep(self: Arc<Self>, listener: &TcpListener) {
-        set_options(listener);
-        let busy = Arc::new(AtomicUsize::new(0));
-        loop {
-            let copy = listener.try_clone();
-            let server = copy.map(|it| Server::from_listener(it, None));
-            let Ok(Ok(server)) = server else {
-                log::warn!("[{}] The listener could not be served. It is tried again.", self.part);
-                thread::sleep(CHECK);
-                continue;
-            };
-            self.serve(&server, &busy);
-            let (service, busy) = (self.clone(), busy.clone());
-            thread::spawn(move || service.finish(&server, &busy));
-        }
-    }
-
-    /// Goes on with the connections of a server whose accept loop has ended.
-    fn finish(self: &Arc<Self>, server: &Server, busy: &Arc<AtomicUsize>) {
-        while let Ok(Some(request)) = server.recv_timeout(READ_TIME + READ_TIME) {
-            self.spawn(request, busy);
-        }
-    }
-
-    /// Hands requests to threads until the accept loop has ended.
-    fn serve(self: &Arc<Self>, server: &Server, busy: &Arc<AtomicUsize>) {
-        loop {
-            match server.recv() {
-                Ok(request) => self.spawn(request, busy),
-                Err(_) => return,
-            }
-        }
+impl Running {
+    async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let part = self.service.part;
+        accept(listener, part, MAX_CONNECTIONS, |stream, place| {
+            let own = self.clone();
+            tokio::spawn(async move {
+                own.serve_one(stream).await;
+                drop(place);
+            });
+        })
+        .await;
     }
 
-    fn spawn(self: &Arc<Self>, request: Request, busy: &Arc<AtomicUsize>) {
-        if busy.fetch_add(1, Ordering::SeqCst) >= THREADS {
-            busy.fetch_sub(1, Ordering::SeqCst);
-            respond(request, Handled { status: 503, kind: "text/plain", body: "busy\n".into() });
+    async fn serve_one(self: Arc<Self>, stream: TcpStream) {
+        let part = self.service.part;
+        if let Err(err) = stream.set_nodelay(true) {
+            log::info!(error:% = err; "[{part}] connection lost before its first request");
             return;
         }
-        let (service, busy) = (self.clone(), busy.clone());
-        thread::spawn(move || {
-            service.answer(request);
-            busy.fetch_sub(1, Ordering::SeqCst);
+        let service = service_fn(move |request| {
+            let own = self.clone();
+            async move { Ok::<_, Infallible>(respond(own.answer(request).await)) }
         });
+        let mut server = http1::Builder::new();
+        server.timer(TokioTimer::new()).header_read_timeout(READ_TIME).max_buf_size(MAX_HEAD);
+        if let Err(err) = server.serve_connection(TokioIo::new(stream), service).await {
+            log::debug!(error:% = err; "[{part}] connection ended");
+        }
     }
 
-    fn answer(&self, mut request: Request) {
-        let mut body = String::new();
-        let read = request.as_reader().take(MAX_BODY + 1).read_to_string(&mut body);
-        let handled = match read {
-            Ok(_) if body.len() as u64 > MAX_BODY => plain(413, "the body is too long\n"),
-            Ok(_) => (self.handle)(&request, body),
-            Err(err) if err.kind() == ErrorKind::InvalidData => plain(400, "the body isn't text\n"),
-            Err(_) => plain(408, "the body took too long\n"),
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Handled {
+        let (head, body) = request.into_parts();
+        let body = match read(body).await {
+            Ok(it) => it,
+            Err(refusal) => return refusal,
+        };
+        let Ok(_thread) = self.threads.try_acquire() else {
+            return plain(503, "busy\n");
         };
-        respond(request, handled);
+        let own = self.clone();
+        let handled = spawn_blocking(move || (own.service.handle)(&head, body)).await;
+        handled.unwrap_or_else(|err| {
+            log::error!(error:% = err; "[{}] a request's handler failed", self.service.part);
+            plain(500, "the request could not be handled\n")
+        })
     }
 }
 
-fn plain(status: u16, text: &str) -> Handled {
-    Handled { status, kind: "text/plain", body: text.to_owned() }
+async fn read(body: Incoming) -> Result<String, Handled> {
+    let collected = timeout(READ_TIME, Limited::new(body, MAX_BODY).collect()).await;
+    match collected {
+        Ok(Ok(it)) => {
+            String::from_utf8(it.to_bytes().into()).map_err(|_| plain(400, "the body isn't text\n"))
+        }
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(plain(413, "the body is too long\n")),
+        Ok(Err(_)) => Err(plain(400, "the body broke off\n")),
+        Err(_) => Err(plain(408, "the body took too long\n")),
+    }
 }
 
-fn respond(request: Request, handled: Handled) {
-    let kind = Header::from_bytes("Content-Type", handled.kind).expect("the header is valid");
-    let response = Response::from_string(handled.body).with_status_code(handled.status);
-    let _ = request.respond(response.with_header(kind));
+fn plain(status: u16, text: &str) -> Handled {
+    Handled { status, kind: "text/plain", body: text.to_owned() }
 }
 
-/// Sets options that accepted sockets inherit: a bound on silence, and no
-/// delay of the second of two small writes, which the library makes.
-fn set_options(listener: &TcpListener) {
-    // A listener and a stream are the same kind of socket underneath; the
-    // standard library sets the options only through a stream.
-    let copy = listener.as_fd().try_clone_to_owned().map(TcpStream::from);
-    let set = copy.and_then(|it| {
-        it.set_nodelay(true)?;
-        it.set_read_timeout(Some(READ_TIME))
-    });
-    if let Err(err) = set {
-        log::warn!("[operators] The listener's options could not be set: {err}.");
-    }
+fn respond(handled: Handled) -> Response<Full<Bytes>> {
+    let response = Response::builder().status(handled.status).header(CONTENT_TYPE, handled.kind);
+    response.body(Full::new(handled.body.into())).expect("the answer's head is valid")
 }
 
 /// Whether a request shows the secret, compared in constant time.
-pub fn is_allowed(request: &Request, secret: &str) -> bool {
+pub fn is_allowed(head: &Parts, secret: &str) -> bool {
     if secret.is_empty() {
         return true;
     }
-    let shown = request.headers().iter().find(|it| it.field.equiv("Authorization"));
-    let shown = shown.map_or("", |it| it.value.as_str());
-    let shown = shown.strip_prefix("Bearer ").unwrap_or("");
-    shown.as_bytes().ct_eq(secret.as_bytes()).into()
+    let shown = head.headers.get(AUTHORIZATION).map_or(&[][..], |it| it.as_bytes());
+    let shown = shown.strip_prefix(b"Bearer ").unwrap_or(&[]);
+    shown.ct_eq(secret.as_bytes()).into()
 }
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -11,6 +11,7 @@
         tables::{ChangeOutcome, Outcome},
         wire::{ChangeAnswer, ChangeRequest, OperatorError, VoterRequest},
     },
+    hyper::{Method, http::request::Parts},
     metrics_exporter_prometheus::PrometheusHandle,
     serde::{Serialize, de::DeserializeOwned},
     std::{
@@ -18,7 +19,6 @@
         sync::{Arc, mpsc::sync_channel},
         time::Duration,
     },
-    tiny_http::{Method, Request},
 };
 
 /// How long the core loop may take to answer.
@@ -26,11 +26,11 @@
 
 /// Serves operators and the scraping of metrics on a listener.
 pub fn serve(listener: TcpListener, secret: Arc<str>, inbox: Inbox, metrics: PrometheusHandle) {
-    let handle = move |request: &Request, body: String| -> Handled {
+    let handle = move |request: &Parts, body: String| -> Handled {
         if !is_allowed(request, &secret) {
             return failed(401, false, "the secret is wrong or missing");
         }
-        if request.method() == &Method::Get && request.url() == "/metrics" {
+        if request.method == Method::GET && request.uri.path() == "/metrics" {
             return Handled { status: 200, kind: "text/plain", body: metrics.render() };
         }
         match question(request, &body) {
@@ -41,23 +41,25 @@
     HttpService { part: "operators", handle: Box::new(handle) }.start(listener);
 }
 
-fn question(request: &Request, body: &str) -> Result<OperatorQuestion, Handled> {
+fn question(request: &Parts, body: &str) -> Result<OperatorQuestion, Handled> {
     let admin = |it| Ok(OperatorQuestion::Admin(it));
-    match (request.method(), request.url()) {
-        (Method::Post, "/v1/found") => Ok(OperatorQuestion::Found),
-        (Method::Post, "/v1/changes") => parse::<ChangeRequest>(body).map(OperatorQuestion::Change),
-        (Method::Get, "/v1/changes") => admin(Admin::History),
-        (Method::Get, "/v1/tables") => admin(Admin::Tables),
-        (Method::Get, "/v1/catalog") => admin(Admin::Catalog),
-        (Method::Post, "/v1/catalog") => {
+    match (&request.method, request.uri.path()) {
+        (&Method::POST, "/v1/found") => Ok(OperatorQuestion::Found),
+        (&Method::POST, "/v1/changes") => {
+            parse::<ChangeRequest>(body).map(OperatorQuestion::Change)
+        }
+        (&Method::GET, "/v1/changes") => admin(Admin::History),
+        (&Method::GET, "/v1/tables") => admin(Admin::Tables),
+        (&Method::GET, "/v1/catalog") => admin(Admin::Catalog),
+        (&Method::POST, "/v1/catalog") => {
             let catalog: Catalog = parse(body)?;
             catalog.check().map_err(|err| failed(422, false, &err.to_string()))?;
             Ok(OperatorQuestion::Catalog { catalog: Arc::new(catalog), document: body.into() })
         }
-        (Method::Get, "/v1/status") => admin(Admin::Status),
-        (Method::Get, "/v1/claims/unknown") => admin(Admin::Unknown),
-        (Method::Post, "/v1/claims/resolve") => parse(body).map(OperatorQuestion::Resolve),
-        (Method::Post, "/v1/voters") => {
+        (&Method::GET, "/v1/status") => admin(Admin::Status),
+        (&Method::GET, "/v1/claims/unknown") => admin(Admin::Unknown),
+        (&Method::POST, "/v1/claims/resolve") => parse(body).map(OperatorQuestion::Resolve),
+        (&Method::POST, "/v1/voters") => {
             let VoterRequest { instance, add } = parse(body)?;
             admin(if add { Admin::AddVoter(instance) } else { Admin::RemoveVoter(instance) })
         }
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -11,6 +11,7 @@
         stages::{self, Results},
         upstream::guard,
     },
+    crate::accept::accept,
     coord::time::Millis,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
@@ -34,8 +35,11 @@
 /// How much longer than the catalog says a connection may stay without a
 /// request, so that the caller gives it up first.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// How long accepting waits after an error, such as too many open files.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Callers' connections at one time: half of the descriptors that a small
+/// machine gives a process, the others being for endpoints and peers.
+const MAX_CONNECTIONS: usize = 2048;
+/// The balancer's connections at one time.
+const MAX_CHECKS: usize = 64;
 /// When a caller should come back whose stages can't be done in time: about
 /// the time of two calls of a stage.
 const COME_BACK: Millis = Millis(500);
@@ -46,29 +50,25 @@
 /// their own, until the process ends.
 pub async fn serve(relay: Rc<Relay>, listener: TcpListener, readiness: Option<TcpListener>) {
     if let Some(it) = readiness {
-        tokio::task::spawn_local(accept(it, relay.clone(), serve_readiness));
+        tokio::task::spawn_local(listen(it, relay.clone(), MAX_CHECKS, serve_readiness));
     }
-    accept(listener, relay, serve_caller).await;
+    listen(listener, relay, MAX_CONNECTIONS, serve_caller).await;
 }
 
-async fn accept<F: Future<Output = ()> + 'static>(
+async fn listen<F: Future<Output = ()> + 'static>(
     listener: TcpListener,
     relay: Rc<Relay>,
+    most: usize,
     serve: fn(Rc<Relay>, TcpStream) -> F,
 ) {
-    let listener = tokio::net::TcpListener::from_std(listener);
-    let listener = listener.expect("the listener is non-blocking");
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(relay.clone(), stream));
-            }
-            Err(err) => {
-                log::warn!("[relay] A connection could not be accepted: {err}.");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept(listener, "relay", most, |stream, place| {
+        let serving = serve(relay.clone(), stream);
+        tokio::task::spawn_local(async move {
+            serving.await;
+            drop(place);
+        });
+    })
+    .await;
 }
 
 async fn serve_readiness(relay: Rc<Relay>, stream: TcpStream) {
--- a/crates/daemon/src/telemetry/logs.rs
+++ b/crates/daemon/src/telemetry/logs.rs
@@ -32,8 +32,7 @@
     for part in parts {
         config = config.logger(Logger::builder().build(*part, level));
     }
-    // It logs each end of its accept loop as an error; the listener goes on.
-    config = config.logger(Logger::builder().build("tiny_http", LevelFilter::Off));
+    // Libraries tell of errors only.
     let root = Root::builder().appender("lines").build(level.min(LevelFilter::Error));
     let config = config.build(root).expect("the configuration of the logs is complete");
     if let Err(err) = log4rs::init_config(config) {
--- a/crates/harness/tests/input.rs
+++ b/crates/harness/tests/input.rs
@@ -85,6 +85,33 @@
     assert!(raw(to, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").contains(" 200 "));
 }
 
+#[test]
+fn operators_and_endpoints_listeners_have_bounds_too() {
+    let cluster = ClusterSpec::new(1, 0).start();
+    let addrs = cluster.daemon(0).addrs;
+    let long = format!("GET /v1/status HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(400_000));
+    for to in [addrs.operator, addrs.endpoint] {
+        let refused = raw(to, long.as_bytes());
+        assert!(!refused.contains(" 200 ") && !refused.contains(" 404 "), "{refused}");
+
+        let idle: Vec<TcpStream> =
+            (0..1100).map(|_| TcpStream::connect(to).expect("a connection")).collect();
+        let closed = idle.iter().rev().take(50).filter(|it| is_closed(it)).count();
+
+        assert!(closed > 0, "connections without end are taken at {to}");
+        drop(idle);
+        wait_until("the listener answers again", WIDE, || {
+            raw(to, b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n").starts_with("HTTP/1.1 ")
+        });
+    }
+}
+
+/// Whether the other side has closed a connection on which nothing was sent.
+fn is_closed(stream: &TcpStream) -> bool {
+    stream.set_read_timeout(Some(Duration::from_millis(100))).expect("a time-out can be set");
+    matches!((&*stream).read(&mut [0]), Ok(0))
+}
+
 #[test]
 fn callers_that_send_nothing_hold_no_place_for_ever() {
     let args = vec!["--max-connections".into(), "4".into()];
