Tell in the log why renewals fail

An instance whose lease ended said that it had ended, and not why: renewals that fail said nothing. Now a line a second at the most carries the reason, the leader that was asked and since when, and one line tells the end of it.

--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -15,7 +15,7 @@
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
-    std::net::SocketAddr,
+    std::{fmt::Display, net::SocketAddr},
 };
 
 /// The least time between two renewals that go out early, and how much longer
@@ -28,6 +28,8 @@
 const OVERDUE: Millis = Millis(1300);
 /// How often an instance without a system greets the ones it is to join.
 const GREET_EVERY: Millis = Millis(200);
+/// How often the log tells that renewals fail, while they do.
+const TELL_EVERY: Millis = Millis(1000);
 /// How long a join is tried before it starts over.
 const JOIN_BOUND: Millis = Millis(5000);
 
@@ -44,6 +46,8 @@
     turn: usize,
     greeted: Time,
     known: IndexMap<NodeId, SocketAddr>,
+    /// Since when renewals have failed, and when the log told it last.
+    failing: Option<(Time, Time)>,
     pub joining: bool,
     /// Messages that wait for the sync under way.
     pub after_sync: Vec<raft::Outgoing>,
@@ -64,6 +68,7 @@
             turn: 0,
             greeted: Time(0),
             known: IndexMap::new(),
+            failing: None,
             joining: false,
             after_sync: Vec::new(),
         }
@@ -90,6 +95,27 @@
         self.leader = None;
     }
 
+    /// Notes that a renewal failed, and to whom it went.
+    fn note_failure(&mut self, now: Time, reason: &dyn Display) {
+        let (since, told) = self.failing.unwrap_or((now, Time(0)));
+        let tells = self.failing.is_none() || now.since(told) >= TELL_EVERY;
+        if tells {
+            let leader = self.leader.map_or_else(|| "none".to_owned(), |it| it.to_string());
+            log::info!(
+                reason:% = reason, leader = leader.as_str(), failing_ms = now.since(since).0;
+                "[lease] renewal failed"
+            );
+        }
+        self.failing = Some((since, if tells { now } else { told }));
+    }
+
+    /// Notes that a renewal was answered with a lease.
+    fn note_success(&mut self, now: Time) {
+        if let Some((since, _)) = self.failing.take() {
+            log::info!(failed_ms = now.since(since).0; "[lease] renewals are answered again");
+        }
+    }
+
     /// The address of an instance in the roster.
     pub fn addr(&self, id: NodeId) -> Option<SocketAddr> {
         self.known.get(&id).copied()
@@ -199,7 +225,10 @@
             self.renewals.next = now;
         }
         match answer {
-            Ok(Ok(reply)) => self.take_lease(now, asked, reply),
+            Ok(Ok(reply)) => {
+                self.renewals.note_success(now);
+                self.take_lease(now, asked, reply);
+            }
             Ok(Err(RenewError::Superseded)) => {}
             failure => {
                 self.renewals.trouble.extend(trouble);
@@ -288,6 +317,11 @@
         now: Time,
         failure: Result<Result<RenewReply, RenewError>, PeerError>,
     ) {
+        match &failure {
+            Ok(Err(err)) => self.renewals.note_failure(now, err),
+            Err(err) => self.renewals.note_failure(now, err),
+            Ok(Ok(_)) => {}
+        }
         match failure {
             Ok(Err(RenewError::NotLeader { leader })) => self.renewals.set_leader(leader),
             Ok(Err(RenewError::NotMember)) => self.join(now),
