--- a/crates/coord/src/control/endpoints.rs
+++ b/crates/coord/src/control/endpoints.rs
@@ -18,8 +18,8 @@
 const RAMP_STEP: Millis = Millis(400);
 /// How long an endpoint stays at its cold bound after trouble, at the least.
 const COLD_HOLD: Millis = Millis(1000);
-/// The longest hold: the last of five doublings, beyond any start that was
-/// seen on the users' engines.
+/// The longest hold: five doublings of the shortest. A start that takes longer
+/// is tried this often.
 const LONGEST_HOLD: Millis = Millis(32_000);
 
 /// A hold is longer than the start that was seen by one part in so many, since
--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -14,8 +14,8 @@
 //! refused results how much room others take.
 //!
 //! Endpoints take the pieces of their own failure domain first, and others
-//! only once they have waited for about as long as moving their bytes takes. What can't be done in time by
-//! the present queue is given up at once.
+//! only once they have waited for about as long as moving their bytes takes.
+//! What can't be done in time by the present queue is given up at once.
 
 use {
     crate::{
@@ -35,8 +35,8 @@
 const FULL_PAUSE: Millis = Millis(150);
 
 /// Pieces wait for an endpoint of their own failure domain as long as what they
-/// read and make would take on a link of so many bytes a millisecond; about
-/// 80 Mbit/s, a tenth of a usual network interface.
+/// read and make would take on a link of so many bytes a millisecond: a tenth
+/// of a network interface of 1 Gbit/s.
 const MOVE_RATE: u64 = 10_000;
 
 /// How often the queue is looked through for what can't be done in time.
--- a/crates/coord/src/relay/outlook.rs
+++ b/crates/coord/src/relay/outlook.rs
@@ -16,9 +16,9 @@
 /// How long a shard gets no piece after none of its endpoints answered; about as
 /// long as an endpoint is paused that failed twice.
 const AVOID: Millis = Millis(1000);
-/// How much shorter another shard's queue must be than that of the own failure
-/// domain: the fixed part of a call, since the next stage reads the results
-/// over slower links.
+/// How much shorter another shard's queue must be than that of the preferred
+/// failure domain: about the fixed part of a call, since the next stage reads
+/// the results over slower links.
 const AWAY: Millis = Millis(200);
 
 /// The latest reports of how long pieces wait, by shard and priority.
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -18,10 +18,11 @@
 /// How much earlier than needed stages aim to be done, for what varies behind
 /// them.
 const MARGIN: Duration = Duration::from_millis(100);
-/// The most instances that are asked to gather for one shard, the most shards of
-/// one stage, and the most asks of one stage in all.
+/// The most instances that are asked to gather for one shard.
 const MOST_HOLDERS: usize = 2;
+/// The most shards that are asked for one stage.
 const MOST_SHARDS: usize = 2;
+/// The most asks for one stage; each may cost a connection's time-out.
 const MOST_ASKS: usize = 3;
 
 /// The results of one stage, and who gathered them.
