--- a/crates/harness/tests/soaking/audit.rs
+++ b/crates/harness/tests/soaking/audit.rs
@@ -6,7 +6,11 @@
         plan::VOTERS,
         soak::Played,
     },
-    coord::{router::Outcome, tables::ChangeOutcome},
+    coord::{
+        router::{Outcome, Reason},
+        tables::ChangeOutcome,
+        wire::CallerError,
+    },
     harness::Answered,
     std::{
         collections::{HashMap, HashSet},
@@ -42,7 +46,7 @@
     }
 
     /// A deposit has one effect if it was answered, at most one in any case,
-    /// and none if each answer said that it wasn't run.
+    /// and none if no sending can have run by its answer.
     fn check_effects(&self) -> Vec<String> {
         let mut effects: HashMap<String, usize> = HashMap::new();
         for (_, record) in self.ledgers.records() {
@@ -116,8 +120,11 @@
     }
 }
 
+/// Whether a sending can't have run by its answer. A key whose outcome is
+/// unknown was run by an earlier sending, if at all.
 fn is_not_run(sent: &Sent) -> bool {
-    sent.answer.failed().is_some_and(|it| it.outcome == Outcome::NotRun)
+    let unrun = |it: &CallerError| it.outcome == Outcome::NotRun || it.reason == Reason::KeyUnknown;
+    sent.answer.failed().is_some_and(unrun)
 }
 
 /// A whole answer is the request's own, with each piece once and in order.
