--- a/crates/harness/tests/soaking/load.rs
+++ b/crates/harness/tests/soaking/load.rs
@@ -128,7 +128,7 @@
     seen
 }
 
-/// Whether each instance but `without` holds a lease and `voters` vote.
+/// Whether so many instances hold a lease and so many of them vote.
 pub fn is_sound(status: &Status, instances: usize, voters: usize) -> bool {
     let live = status.members.iter().filter(|it| it.lease);
     let voting = live.clone().filter(|it| it.vote == "voter");
