Let calls of a shard end when its domain goes out of service

Cause: a shard without endpoints was dropped at once with the calls that ran. Its askers' answers were dropped too, which each of them took for a lost gatherer: it closed the connection and avoided the instance for a second, and its request was refused though the piece was being made.

Ruled out: pieces that wait (they are handed back and asked for elsewhere).

Change: such a shard is drained: what waits is handed back, calls that run are answered, and it goes once nothing is asked of it. A gatherer without endpoints hands back what comes of a failed call instead of keeping it until it is due. Results that nobody can free are logged.

--- a/crates/coord/src/relay/gather.rs
+++ b/crates/coord/src/relay/gather.rs
@@ -35,8 +35,8 @@
 const FULL_PAUSE: Millis = Millis(150);
 
 /// Pieces wait for an endpoint of their own failure domain as long as what they
-/// read and make would take on a link of so many bytes a millisecond: a tenth
-/// of a network interface of 1 Gbit/s.
+/// read and make would take on a link of so many bytes a millisecond: some
+/// results of a megabyte stay for about a call, smaller ones for less.
 const MOVE_RATE: u64 = 10_000;
 
 /// How often the queue is looked through for what can't be done in time.
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Calls no endpoint from now on.
+    pub fn drain(&mut self) {
+        self.rows.clear();
+    }
+
     /// The number of pieces that wait.
     pub fn len(&self) -> usize {
         self.queue.len()
--- a/crates/daemon/src/relay/gatherer.rs
+++ b/crates/daemon/src/relay/gatherer.rs
@@ -91,9 +91,10 @@
         rows.retain(|shard, row| {
             let kept = view.shards(&shard.pool).contains(shard);
             if !kept {
-                row.fail_all(PieceError::Down);
+                row.drain();
             }
-            kept
+            // Calls that run go on.
+            kept || !row.asks.is_empty()
         });
         for (pool, terms) in terms {
             for shard in view.shards(pool) {
@@ -132,8 +133,10 @@
     /// Gives results up.
     pub fn free(&self, shard: &Shard, results: Vec<Made>) {
         let freed = self.with(shard, |row| results.into_iter().for_each(|it| row.give_up(it)));
-        if freed.is_some() {
-            self.pump(shard);
+        match freed {
+            Some(()) => self.pump(shard),
+            // The endpoints drop them by themselves when their time has run out.
+            None => log::info!(shard:% = shard; "[relay] results not freed, nobody gathers"),
         }
     }
 
@@ -178,7 +181,8 @@
         let Some(row) = rows.get_mut(shard) else {
             return;
         };
-        if shard.domain.is_some() && row.gather.is_down(now) {
+        let down = shard.domain.is_some() && row.gather.is_down(now);
+        if down || row.endpoints.is_empty() {
             row.fail_all(PieceError::Down);
         }
         for (group, wait) in row.gather.expire(now) {
@@ -231,7 +235,8 @@
         let made = results.iter().filter(|it| it.is_ok()).count();
         let failed = results.iter().find_map(|it| it.as_ref().err());
         log::info!(
-            pool:% = shard.pool, shard:% = shard, endpoint = endpoint.name.as_str(), pieces = call.pieces.len(),
+            pool:% = shard.pool, shard:% = shard, endpoint = endpoint.name.as_str(),
+            pieces = call.pieces.len(),
             took_ms = now.since(began).0, outcome = outcome, made = made, failed:? = failed,
             used = self.with(&shard, |row| row.gather.used(&endpoint.name)).unwrap_or_default(),
             waiting = self.with(&shard, |row| row.gather.len()).unwrap_or_default();
@@ -287,6 +292,10 @@
     async fn free_at(&self, shard: &Shard, name: EndpointName, handles: Vec<Handle>) {
         let endpoint = self.with(shard, |row| row.endpoints.get(&name).cloned()).flatten();
         let Some(endpoint) = endpoint else {
+            log::info!(
+                endpoint = name.as_str(), results = handles.len();
+                "[relay] results not freed, the endpoint is out of service"
+            );
             return;
         };
         let codec = &self.dialect.batches;
--- a/crates/daemon/src/relay/pool.rs
+++ b/crates/daemon/src/relay/pool.rs
@@ -121,10 +121,17 @@
         let names = endpoints.iter().map(|it| (it.name.clone(), it.domain.clone())).collect();
         self.gather.reload(terms, &names);
         if endpoints.is_empty() {
-            self.fail_all(PieceError::Down);
+            self.drain();
         }
     }
 
+    /// Calls no endpoint any more; what waits is handed back.
+    pub fn drain(&mut self) {
+        self.endpoints.clear();
+        self.gather.drain();
+        self.fail_all(PieceError::Down);
+    }
+
     /// Fails all that waits.
     pub fn fail_all(&mut self, err: PieceError) {
         for id in self.pieces.keys().copied().collect::<Vec<_>>() {
@@ -274,7 +281,8 @@
     pub fn expire(&mut self, group: GroupId, wait: Millis) {
         if let Some(row) = self.asks.get(&group.0).cloned() {
             log::info!(
-                request = row.ask.request.as_str(), pool:% = row.ask.shard.pool, shard:% = row.ask.shard,
+                request = row.ask.request.as_str(), pool:% = row.ask.shard.pool,
+                shard:% = row.ask.shard,
                 waiting = self.gather.len(), wait_ms = wait.0;
                 "[relay] pieces given up, the queue is too long"
             );
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -10,14 +10,15 @@
         tables::{Endpoint, EndpointState, Tables},
         time::Millis,
     },
-    daemon::relay::{GatherAsk, GatherEvent, Phase, PieceError, PieceInput},
+    daemon::relay::{GatherAsk, GatherEvent, GatherReply, Phase, PieceError, PieceInput},
     relaying::{
-        answer, call, catalog, connect, endpoint, exchange, good, member, read_answer, request,
-        route, scripted, sound, stage, start, start_beside, unrun, with_team,
+        Fixture, answer, call, catalog, connect, endpoint, exchange, good, member, read_answer,
+        request, route, scripted, sound, stage, start, start_beside, unrun, with_team,
     },
     standin::{Scripted, Step},
     std::{
         io::Write,
+        net::SocketAddr,
         sync::Arc,
         thread::sleep,
         time::{Duration, Instant},
@@ -402,17 +403,17 @@
     assert!(backend.seen().is_empty());
 }
 
-#[test]
-fn pieces_of_a_domain_whose_endpoints_all_fail_are_handed_back_at_once() {
-    let backend = sound("fine");
+/// A relay whose pools are split, with a stage's endpoint in domain `d`.
+fn split_relay(pieces: SocketAddr) -> Fixture {
     let mut staged = route(Repeat::Stream);
     staged.stages = vec![stage(&[])];
-    let gone = "127.0.0.2:9".parse().expect("an address");
-    let near = Endpoint { domain: "d".parse().expect("a name"), ..endpoint("s", "stage", gone) };
-    let far = Endpoint { domain: "f".parse().expect("a name"), ..endpoint("t", "stage", gone) };
-    let endpoints = [endpoint("e", "app", backend.addr), near, far];
+    let near = Endpoint { domain: "d".parse().expect("a name"), ..endpoint("s", "stage", pieces) };
     let others: Vec<_> = (2..40).map(|it| member(it, if it < 20 { "d" } else { "f" })).collect();
-    let relay = start_beside(&others, catalog(staged), &endpoints);
+    start_beside(&others, catalog(staged), &[near])
+}
+
+/// Asks a relay's gatherer for one piece of domain `d`.
+fn gather(relay: &Fixture) -> oneshot::Receiver<GatherReply> {
     let shard = Shard {
         pool: "stage".parse().expect("a name"),
         domain: Some("d".parse().expect("a name")),
@@ -431,12 +432,38 @@
         target: Millis(1000),
         due: Millis(5000),
     };
-
     let (respond, answer) = oneshot::channel();
-    let began = Instant::now();
     relay.asks.send(GatherEvent::Ask { ask: Box::new(ask), respond }).expect("it gathers");
-    let reply = answer.blocking_recv().expect("a reply");
+    answer
+}
+
+#[test]
+fn pieces_of_a_domain_whose_endpoints_all_fail_are_handed_back_at_once() {
+    let relay = split_relay("127.0.0.2:9".parse().expect("an address"));
+
+    let began = Instant::now();
+    let reply = gather(&relay).blocking_recv().expect("a reply");
 
     assert_eq!(reply.answer, Err(PieceError::Down));
     assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
 }
+
+#[test]
+fn a_call_that_runs_when_its_domain_goes_out_of_service_is_answered() {
+    let pieces = scripted(|seen, _| {
+        let body = good(seen, "{\"results\":[{\"Ok\":\"h\"}]}");
+        vec![Step::Wait(Duration::from_millis(300)), Step::Send(body)]
+    });
+    let relay = split_relay(pieces.addr);
+
+    let answer = gather(&relay);
+    sleep(Duration::from_millis(100));
+    relay.tables.send_modify(|it| {
+        let out = "d".parse().expect("a name");
+        Arc::make_mut(it).out_domains.insert(out);
+    });
+    let reply = answer.blocking_recv();
+
+    let made = reply.expect("a reply").answer.expect("the piece was made");
+    assert_eq!(made[0].handle.to_string(), "h");
+}
