End a relayed stream whose length is told

Cause: a body is asked for more until it says that it has ended; one whose length is told is not asked after its last byte. So its request was logged as caller_left, and the endpoint's connection was closed instead of kept.

Change: the body ends with its last told byte, or at once if it has none.

Before: two such streams went over two connections; after: over one. The other tests of the relay pass.

--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -32,7 +32,25 @@
         in_flight: InFlight,
     ) -> Self {
         let until = Box::pin(sleep_until(until.into()));
-        Self { inner, lease: Some(lease), until, ending, _in_flight: in_flight }
+        let lease = Some(lease);
+        let mut body = Self { inner, lease, until, ending, _in_flight: in_flight };
+        body.finish_if_told();
+        body
+    }
+
+    /// Nobody asks for more of a body whose told length has come.
+    fn finish_if_told(&mut self) {
+        if self.inner.is_end_stream() {
+            self.finish();
+        }
+    }
+
+    /// Takes in that all of it has come.
+    fn finish(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.close();
+        }
+        self.ending.end("whole");
     }
 }
 
@@ -48,6 +66,7 @@
             Poll::Ready(Some(Ok(frame))) => {
                 let size = frame.data_ref().map_or(0, Bytes::len);
                 self.ending.pass(size);
+                self.finish_if_told();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(err))) => {
@@ -57,10 +76,7 @@
                 Poll::Ready(Some(Err(io::Error::other(err))))
             }
             Poll::Ready(None) => {
-                if let Some(lease) = self.lease.take() {
-                    lease.close();
-                }
-                self.ending.end("whole");
+                self.finish();
                 Poll::Ready(None)
             }
             Poll::Pending if self.until.as_mut().poll(cx).is_ready() => {
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -467,3 +467,15 @@
     let made = reply.expect("a reply").answer.expect("the piece was made");
     assert_eq!(made[0].handle.to_string(), "h");
 }
+
+#[test]
+fn a_stream_whose_length_is_told_keeps_its_connection() {
+    let backend = sound("fine");
+    let relay = start(catalog(route(Repeat::Stream)), &one(&backend));
+
+    let got = [call(&relay, &request("id1", "", "")), call(&relay, &request("id2", "", ""))];
+
+    assert!(got.iter().all(|it| it.status == 200 && it.whole));
+    let connections: Vec<_> = backend.seen().iter().map(|it| it.connection).collect();
+    assert_eq!(connections[0], connections[1], "it was read to its end");
+}
