Take in a failed renewal in one place

The answer of a renewal was matched twice, with arms that can't occur, and the failure was handled in two functions. on_renewal_failure now gets just what can fail and does all of it.

--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -230,13 +230,8 @@
                 self.take_lease(now, asked, reply);
             }
             Ok(Err(RenewError::Superseded)) => {}
-            failure => {
-                self.renewals.trouble.extend(trouble);
-                if latest {
-                    self.renewals.next = now + AFTER_FAILURE;
-                }
-                self.on_renewal_failure(now, failure);
-            }
+            Ok(Err(err)) => self.on_renewal_failure(now, latest, trouble, Ok(err)),
+            Err(err) => self.on_renewal_failure(now, latest, trouble, Err(err)),
         }
     }
 
@@ -315,18 +310,23 @@
     fn on_renewal_failure(
         &mut self,
         now: Time,
-        failure: Result<Result<RenewReply, RenewError>, PeerError>,
+        latest: bool,
+        trouble: Vec<Trouble>,
+        failure: Result<RenewError, PeerError>,
     ) {
+        self.renewals.trouble.extend(trouble);
+        if latest {
+            self.renewals.next = now + AFTER_FAILURE;
+        }
         match &failure {
-            Ok(Err(err)) => self.renewals.note_failure(now, err),
+            Ok(err) => self.renewals.note_failure(now, err),
             Err(err) => self.renewals.note_failure(now, err),
-            Ok(Ok(_)) => {}
         }
         match failure {
-            Ok(Err(RenewError::NotLeader { leader })) => self.renewals.set_leader(leader),
-            Ok(Err(RenewError::NotMember)) => self.join(now),
+            Ok(RenewError::NotLeader { leader }) => self.renewals.set_leader(leader),
+            Ok(RenewError::NotMember) => self.join(now),
+            Ok(RenewError::NotReady | RenewError::Superseded) => {}
             Err(_) => self.renewals.lose_leader(),
-            _ => {}
         }
     }
 
