Log how an answer's end is framed and where its events end

The outcome line of a relayed request didn't tell whether the endpoint's answer had a length, chunks or neither, nor whether a stream ended between two events, so that three hypotheses about a partial stream that was ended as complete couldn't be told apart. The line now has framing, events and partial. The scanner of events is pure and in the library. Nothing that callers see changes.

--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod batch_queue;
 mod candidates;
+mod event_scanner;
 mod placer;
 mod preferred_domain;
 mod queue_waits;
@@ -14,6 +15,7 @@
     attempts::{AttemptOutcome, Attempts, NextAction},
     batch_queue::{BatchCall, BatchQueue, CallOutcome, GroupId, Piece, PieceId},
     candidates::{batcher_candidates, entry_addrs, rank},
+    event_scanner::EventScanner,
     placer::{Placer, Preferences},
     preferred_domain::preferred_domain,
     queue_waits::QueueWaits,
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         HeaderNames,
+        framing::Framing,
         record::RequestRecord,
         relay::{InFlightGuard, Relay},
         request::{RelayRequest, connection_options},
@@ -176,6 +177,7 @@
             Ok(Err(err)) => return Reply::Lost(err),
             Ok(Ok(it)) => it,
         };
+        self.record.set_framing(Framing::of(&response));
         if let Some(reply) = check_head(names, &self.request, &response) {
             return reply;
         }
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod dialect;
 mod drain_state;
 mod forward;
+mod framing;
 mod front;
 mod pieces;
 mod record;
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -1,7 +1,7 @@
 //! Outcome of relayed requests: one log line and the metrics of each.
 
 use {
-    super::{drain_state::RequestGuard, request::RelayRequest},
+    super::{drain_state::RequestGuard, framing::Framing, request::RelayRequest},
     crate::telemetry::SeriesBound,
     metrics::{counter, histogram},
     std::{cell::RefCell, rc::Rc, time::Instant},
@@ -34,8 +34,12 @@
     received: Instant,
     first: Option<Instant>,
     bytes: usize,
+    /// The complete events of a streamed answer, and whether another had begun.
+    events: Option<(u64, bool)>,
     sends: u32,
     endpoint: Option<String>,
+    /// The framing of the last response from an endpoint.
+    framing: Option<Framing>,
     finished: bool,
     series: Rc<SeriesLabels>,
     _guard: RequestGuard,
@@ -59,8 +63,10 @@
             received: request.received,
             first: None,
             bytes: 0,
+            events: None,
             sends: 0,
             endpoint: None,
+            framing: None,
             finished: false,
             series,
             _guard: guard,
@@ -71,6 +77,12 @@
     pub fn add_send(&mut self, endpoint: &str) {
         self.sends += 1;
         self.endpoint = Some(endpoint.to_owned());
+        self.framing = None;
+    }
+
+    /// Sets the framing of the response from the endpoint.
+    pub fn set_framing(&mut self, framing: Framing) {
+        self.framing = Some(framing);
     }
 
     /// Counts response bytes; the first call sets the time to the first byte.
@@ -79,11 +91,17 @@
         self.bytes += bytes;
     }
 
+    /// Sets how many events of a streamed answer are complete, and whether its bytes
+    /// end inside another.
+    pub fn set_events(&mut self, complete: u64, partial: bool) {
+        self.events = Some((complete, partial));
+    }
+
     /// Logs the error that ended a response body early.
     pub fn log_error(&self, err: &hyper::Error) {
         log::info!(
             request = self.request.as_str(), endpoint = self.endpoint.as_deref().unwrap_or("none"),
-            bytes = self.bytes, error:% = err;
+            bytes = self.bytes, framing = self.framing_name(), error:% = err;
             "[relay] answer broke off"
         );
     }
@@ -99,7 +117,10 @@
             request = self.request.as_str(), outcome = outcome, route = self.route.as_str(),
             team = self.team.as_str(), pool = self.pool.as_str(),
             endpoint = self.endpoint.as_deref().unwrap_or("none"), sends = self.sends,
-            bytes = self.bytes, first_ms = first.map_or(-1, |it| it.as_millis() as i64),
+            framing = self.framing_name(), bytes = self.bytes,
+            events = self.events.map_or(-1, |(complete, _)| complete as i64),
+            partial = self.events.is_some_and(|(_, partial)| partial),
+            first_ms = first.map_or(-1, |it| it.as_millis() as i64),
             took_ms = took.as_millis() as u64, catalog = self.version;
             "[relay] ended"
         );
@@ -111,6 +132,10 @@
         histogram!("mangobend_relay_seconds_by_route", "route" => route).record(first);
         histogram!("mangobend_relay_seconds_by_team", "team" => team).record(first);
     }
+
+    fn framing_name(&self) -> &'static str {
+        self.framing.map_or("none", Framing::name)
+    }
 }
 
 impl Drop for RequestRecord {
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{record::RequestRecord, relay::InFlightGuard, upstream::Lease},
+    coord::relay::EventScanner,
     hyper::body::{Body, Bytes, Frame, Incoming, SizeHint},
     std::{
         io,
@@ -17,6 +18,7 @@
 /// complete.
 pub struct RelayBody {
     inner: Incoming,
+    events: EventScanner,
     lease: Option<Lease>,
     deadline: Pin<Box<Sleep>>,
     record: RequestRecord,
@@ -34,11 +36,18 @@
     ) -> Self {
         let deadline = Box::pin(sleep_until(deadline.into()));
         let lease = Some(lease);
-        let mut body = Self { inner, lease, deadline, record, _in_flight: in_flight };
+        let events = EventScanner::default();
+        let mut body = Self { inner, events, lease, deadline, record, _in_flight: in_flight };
         body.finish_at_end();
         body
     }
 
+    fn add_data(&mut self, data: &Bytes) {
+        self.events.push(data);
+        self.record.add_bytes(data.len());
+        self.record.set_events(self.events.events(), self.events.is_partial());
+    }
+
     /// Finishes a body whose last byte has arrived: hyper doesn't poll a body of
     /// known length again after that.
     fn finish_at_end(&mut self) {
@@ -66,8 +75,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                let size = frame.data_ref().map_or(0, Bytes::len);
-                self.record.add_bytes(size);
+                if let Some(data) = frame.data_ref() {
+                    self.add_data(data);
+                }
                 self.finish_at_end();
                 Poll::Ready(Some(Ok(frame)))
             }
