Add failing tests of streams that are cut and ended as complete

The tests reproduce it with a real daemon and an endpoint that ends its answer by a length, by chunks or by its connection, whole, closed or reset. On this code two of the four fail, each time: a stream that ends inside an event (all framings that reach their own end, and a close without framing), and one that is closed before its first event without framing. Whole streams and resets pass.

Of the three hypotheses the first (no framing of its own) and the third (framing ended inside an event) are reproduced; the second (an error lost in the relay) is not: an early end of a length or of chunks is noticed.

The stand-in learns to end a streamed answer in any way.

--- a/crates/harness/src/daemon.rs
+++ b/crates/harness/src/daemon.rs
@@ -39,6 +39,8 @@
     pub operator: SocketAddr,
     pub endpoint: SocketAddr,
     pub peer: SocketAddr,
+    /// Only of a daemon that runs a relay.
+    pub relay: Option<SocketAddr>,
 }
 
 /// A running daemon.
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod process;
 mod proxy;
+mod relayed;
 mod stand_ins;
 mod temp;
 mod usage;
@@ -25,6 +26,10 @@
     operator::{Operator, new_change},
     process::{Proc, wait_until},
     proxy::{Fault, Proxy},
+    relayed::{
+        RawResponse, connect, exchange, read_response, relay_catalog, relay_endpoint,
+        relay_request, relay_route,
+    },
     stand_ins::StandIns,
     temp::TempDir,
     usage::{cpu_seconds, resident_mb},
--- /dev/null
+++ b/crates/harness/tests/relay.rs
@@ -0,0 +1,105 @@
+//! Relayed answers of endpoints that end them in any way, through a real daemon.
+
+use {
+    coord::catalog::RetryPolicy,
+    harness::{
+        Cluster, ClusterSpec, LONG_TIMEOUT, RawResponse, connect, exchange, relay_catalog,
+        relay_endpoint, relay_request, relay_route, wait_until,
+    },
+    standin::{AnswerEnd, AnswerFraming, ScriptedEndpoint, StreamAnswer},
+    std::sync::{Arc, Mutex},
+};
+
+const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+const FRAMINGS: [AnswerFraming; 3] =
+    [AnswerFraming::Length, AnswerFraming::Chunked, AnswerFraming::Close];
+
+/// A daemon with a stream route to an endpoint whose answer can be changed.
+struct System {
+    cluster: Cluster,
+    backend: ScriptedEndpoint,
+    answer: Arc<Mutex<StreamAnswer>>,
+}
+
+fn whole_answer() -> StreamAnswer {
+    StreamAnswer { framing: AnswerFraming::Length, text: EVENTS.to_owned(), end: AnswerEnd::Framed }
+}
+
+fn start() -> System {
+    let spec = ClusterSpec {
+        args: ["--relay-listen", "127.0.0.1:0"].map(ToOwned::to_owned).to_vec(),
+        ..ClusterSpec::new(1, 0)
+    };
+    let cluster = spec.start();
+    let answer = Arc::new(Mutex::new(whole_answer()));
+    let shared = answer.clone();
+    let backend = ScriptedEndpoint::start(Box::new(move |seen, _| {
+        shared.lock().expect("no thread panics while it holds the lock").steps(seen)
+    }));
+    let catalog = relay_catalog(relay_route(RetryPolicy::Stream));
+    let posted = cluster.operator().post::<serde_json::Value>("/v1/catalog", &catalog);
+    posted.expect("the catalog is accepted");
+    let system = System { cluster, backend, answer };
+    wait_until("the relay serves", LONG_TIMEOUT, || system.call(whole_answer()).status == 200);
+    system
+}
+
+impl System {
+    /// Sends a request that the endpoint answers like this.
+    fn call(&self, answer: StreamAnswer) -> RawResponse {
+        *self.answer.lock().expect("no thread panics while it holds the lock") = answer;
+        let daemon = self.cluster.daemon(0);
+        daemon.announce(&relay_endpoint("e", "app", self.backend.addr));
+        exchange(&mut connect(daemon.relay_addr()), &relay_request("id1", "", ""))
+    }
+
+    /// Sends a request for each framing and way to end an answer with this text, and
+    /// returns those whose response was complete to the caller.
+    fn complete_endings(&self, text: &str, ends: &[AnswerEnd]) -> Vec<StreamAnswer> {
+        let answers = FRAMINGS.iter().flat_map(|framing| {
+            ends.iter().map(|end| StreamAnswer {
+                framing: *framing,
+                text: text.to_owned(),
+                end: *end,
+            })
+        });
+        answers.filter(|it| self.call(it.clone()).complete).collect()
+    }
+}
+
+#[test]
+fn a_whole_stream_is_complete_in_each_framing() {
+    let system = start();
+
+    let complete = system.complete_endings(EVENTS, &[AnswerEnd::Framed]);
+
+    assert_eq!(complete.len(), FRAMINGS.len(), "{complete:?}");
+}
+
+#[test]
+fn a_reset_stream_is_never_ended_as_complete() {
+    let system = start();
+
+    let complete = system.complete_endings(EVENTS, &[AnswerEnd::Reset]);
+
+    assert!(complete.is_empty(), "{complete:?}");
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_is_never_ended_as_complete() {
+    let system = start();
+    let inside = EVENTS.strip_suffix("wo\n\n").expect("the last event is cut");
+
+    let complete = system.complete_endings(inside, &[AnswerEnd::Framed, AnswerEnd::Closed]);
+
+    assert!(complete.is_empty(), "{complete:?}");
+}
+
+#[test]
+fn a_stream_closed_before_its_first_event_is_never_ended_as_complete() {
+    let system = start();
+
+    let complete = system.complete_endings("", &[AnswerEnd::Closed]);
+
+    assert!(complete.is_empty(), "{complete:?}");
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod scripted;
 mod server;
 mod spec;
+mod stream_answer;
 
 pub mod run;
 
@@ -15,4 +16,5 @@
     record::{Record, RunRecord},
     scripted::{ReceivedRequest, Script, ScriptedEndpoint, Step, header},
     spec::{EndpointSpec, Kind},
+    stream_answer::{AnswerEnd, AnswerFraming, StreamAnswer, signed_response},
 };
--- /dev/null
+++ b/crates/standin/src/stream_answer.rs
@@ -0,0 +1,74 @@
+//! Streamed answers of scripted endpoints, ended in any way.
+
+use crate::{ReceivedRequest, Step};
+
+/// What marks the end of an answer's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerFraming {
+    Length,
+    Chunked,
+    /// Neither a length nor chunks: the end of the connection.
+    Close,
+}
+
+/// What an endpoint does after the bytes of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// Ends the body as its framing requires.
+    Framed,
+    /// Closes the connection without ending a length or chunks.
+    Closed,
+    /// Resets the connection without ending a length or chunks.
+    Reset,
+}
+
+/// A streamed answer.
+#[derive(Debug, Clone)]
+pub struct StreamAnswer {
+    pub framing: AnswerFraming,
+    /// The bytes of the stream, whole or not.
+    pub text: String,
+    pub end: AnswerEnd,
+}
+
+/// The bytes that an answer with a length promises and doesn't send, if it isn't
+/// ended as framed.
+const MISSING_BYTES: usize = 1000;
+
+impl StreamAnswer {
+    /// The steps that answer a request.
+    pub fn steps(&self, seen: &ReceivedRequest) -> Vec<Step> {
+        let framed = self.end == AnswerEnd::Framed;
+        let missing = if framed { 0 } else { MISSING_BYTES };
+        let text = &self.text;
+        let (framing, body) = match self.framing {
+            AnswerFraming::Length => {
+                (format!("content-length: {}\r\n", text.len() + missing), text.clone())
+            }
+            AnswerFraming::Chunked => {
+                let last = if framed { "0\r\n\r\n" } else { "" };
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                let chunk = if text.is_empty() { String::new() } else { chunk };
+                ("transfer-encoding: chunked\r\n".to_owned(), chunk + last)
+            }
+            AnswerFraming::Close => (String::new(), text.clone()),
+        };
+        let head = format!("content-type: text/event-stream\r\n{framing}");
+        let mut steps = vec![Step::Send(signed_response(seen, "200 OK", &head, &body))];
+        match self.end {
+            AnswerEnd::Framed if self.framing != AnswerFraming::Close => {}
+            AnswerEnd::Framed | AnswerEnd::Closed => steps.push(Step::Close),
+            AnswerEnd::Reset => steps.push(Step::Reset),
+        }
+        steps
+    }
+}
+
+/// A response that echoes the request's id and is signed.
+pub fn signed_response(seen: &ReceivedRequest, status: &str, headers: &str, body: &str) -> Vec<u8> {
+    let id = seen.header("mangobend-request").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 {status}\r\nmangobend-request: {id}\r\nmangobend-signature: s\r\n{headers}\r\n"
+    );
+    (head + body).into_bytes()
+}
