Break off a stream whose bytes end inside an event

Cause: the relay took the end of the body that the HTTP library reports for the end of the stream. An answer without a length and without chunks ends with its connection, and the close of a replica whose run has crashed is no error to the library; the relay then wrote the last chunk. The same holds for a length or chunks that end inside an event.

Change: a body of events is scanned as it passes, and its end counts only between two events; otherwise the caller's connection is closed without the last chunk and the line 'answer broke off' says why. Such a body is passed on in chunks also where the endpoint stated a length, which the caller could count as reached.

--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         HeaderNames,
-        framing::Framing,
+        body_check::BodyCheck,
         record::RequestRecord,
         relay::{InFlightGuard, Relay},
         request::{RelayRequest, connection_options},
@@ -40,7 +40,7 @@
 /// The outcome of one attempt at an endpoint.
 enum Reply {
     /// A successful stream whose body is still arriving.
-    Stream(Response<Incoming>, Lease),
+    Stream(Response<Incoming>, BodyCheck, Lease),
     /// A completely read response that can be forwarded.
     Complete(Parts, Bytes),
     /// A server error from an endpoint that ran the request.
@@ -86,9 +86,9 @@
             let in_flight = self.relay.begin_attempt(&endpoint.name);
             let reply = self.send(&endpoint).await;
             let (outcome, failure) = match reply {
-                Reply::Stream(response, lease) => {
+                Reply::Stream(response, check, lease) => {
                     self.relay.placer().answered(&endpoint.name);
-                    return self.stream(response, lease, in_flight);
+                    return self.stream(response, check, lease, in_flight);
                 }
                 Reply::Complete(head, body) => {
                     self.relay.placer().answered(&endpoint.name);
@@ -177,13 +177,15 @@
             Ok(Err(err)) => return Reply::Lost(err),
             Ok(Ok(it)) => it,
         };
-        self.record.set_framing(Framing::of(&response));
+        let is_stream = self.request.route.retry.is_stream();
+        let check = BodyCheck::new(&response, is_stream);
+        self.record.set_framing(check.framing());
         if let Some(reply) = check_head(names, &self.request, &response) {
             return reply;
         }
         self.relay.record_run_time(&self.request.pool, self.body.len(), began.elapsed());
-        if response.status().is_success() && self.request.route.retry.is_stream() {
-            return Reply::Stream(response, lease);
+        if response.status().is_success() && is_stream {
+            return Reply::Stream(response, check, lease);
         }
         let (head, body) = response.into_parts();
         match timeout_at(deadline, Limited::new(body, MAX_BUFFERED_BYTES).collect()).await {
@@ -218,13 +220,18 @@
     fn stream(
         self,
         response: Response<Incoming>,
+        check: BodyCheck,
         lease: Lease,
         in_flight: InFlightGuard,
     ) -> RelayResponse {
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head);
+        if check.events().is_some() {
+            head.headers.remove(CONTENT_LENGTH);
+        }
         self.results.close();
-        let body = RelayBody::new(body, lease, self.request.deadline, self.record, in_flight);
+        let deadline = self.request.deadline;
+        let body = RelayBody::new(body, check, lease, deadline, self.record, in_flight);
         Response::from_parts(head, stream_body(body))
     }
 
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -4,6 +4,7 @@
 
 mod batcher;
 mod batcher_clients;
+mod body_check;
 mod dialect;
 mod drain_state;
 mod forward;
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -4,7 +4,7 @@
     super::{drain_state::RequestGuard, framing::Framing, request::RelayRequest},
     crate::telemetry::SeriesBound,
     metrics::{counter, histogram},
-    std::{cell::RefCell, rc::Rc, time::Instant},
+    std::{cell::RefCell, fmt::Display, rc::Rc, time::Instant},
 };
 
 /// Maximum number of routes, and of teams, with metric series of their own.
@@ -98,7 +98,7 @@
     }
 
     /// Logs the error that ended a response body early.
-    pub fn log_error(&self, err: &hyper::Error) {
+    pub fn log_error(&self, err: &impl Display) {
         log::info!(
             request = self.request.as_str(), endpoint = self.endpoint.as_deref().unwrap_or("none"),
             bytes = self.bytes, framing = self.framing_name(), error:% = err;
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -1,10 +1,10 @@
 //! The body of a response that is forwarded as it arrives.
 
 use {
-    super::{record::RequestRecord, relay::InFlightGuard, upstream::Lease},
-    coord::relay::EventScanner,
+    super::{body_check::BodyCheck, record::RequestRecord, relay::InFlightGuard, upstream::Lease},
     hyper::body::{Body, Bytes, Frame, Incoming, SizeHint},
     std::{
+        error::Error,
         io,
         pin::Pin,
         task::{Context, Poll},
@@ -18,7 +18,7 @@
 /// complete.
 pub struct RelayBody {
     inner: Incoming,
-    events: EventScanner,
+    check: BodyCheck,
     lease: Option<Lease>,
     deadline: Pin<Box<Sleep>>,
     record: RequestRecord,
@@ -29,6 +29,7 @@
     /// Forwards a body until it ends or the deadline passes.
     pub fn new(
         inner: Incoming,
+        check: BodyCheck,
         lease: Lease,
         deadline: Instant,
         record: RequestRecord,
@@ -36,22 +37,23 @@
     ) -> Self {
         let deadline = Box::pin(sleep_until(deadline.into()));
         let lease = Some(lease);
-        let events = EventScanner::default();
-        let mut body = Self { inner, events, lease, deadline, record, _in_flight: in_flight };
+        let mut body = Self { inner, check, lease, deadline, record, _in_flight: in_flight };
         body.finish_at_end();
         body
     }
 
     fn add_data(&mut self, data: &Bytes) {
-        self.events.push(data);
+        self.check.push(data);
         self.record.add_bytes(data.len());
-        self.record.set_events(self.events.events(), self.events.is_partial());
+        if let Some(it) = self.check.events() {
+            self.record.set_events(it.events(), it.is_partial());
+        }
     }
 
     /// Finishes a body whose last byte has arrived: hyper doesn't poll a body of
     /// known length again after that.
     fn finish_at_end(&mut self) {
-        if self.inner.is_end_stream() {
+        if self.inner.is_end_stream() && self.check.check_end().is_ok() {
             self.finish();
         }
     }
@@ -63,6 +65,14 @@
         }
         self.record.finish("whole");
     }
+
+    /// Closes the endpoint's connection and records a response that was cut.
+    fn break_off(&mut self, err: impl Error + Send + Sync + 'static) -> io::Error {
+        self.lease = None;
+        self.record.log_error(&err);
+        self.record.finish("broken_off");
+        io::Error::other(err)
+    }
 }
 
 impl Body for RelayBody {
@@ -81,16 +91,14 @@
                 self.finish_at_end();
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(err))) => {
-                self.lease = None;
-                self.record.log_error(&err);
-                self.record.finish("broken_off");
-                Poll::Ready(Some(Err(io::Error::other(err))))
-            }
-            Poll::Ready(None) => {
-                self.finish();
-                Poll::Ready(None)
-            }
+            Poll::Ready(Some(Err(err))) => Poll::Ready(Some(Err(self.break_off(err)))),
+            Poll::Ready(None) => match self.check.check_end() {
+                Ok(()) => {
+                    self.finish();
+                    Poll::Ready(None)
+                }
+                Err(err) => Poll::Ready(Some(Err(self.break_off(err)))),
+            },
             Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => {
                 self.lease = None;
                 self.record.finish("timed_out");
@@ -100,7 +108,12 @@
         }
     }
 
+    /// Unknown for a body whose content is checked at its end: a length would let it
+    /// look complete before.
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        match self.check.events() {
+            Some(_) => SizeHint::default(),
+            None => self.inner.size_hint(),
+        }
     }
 }
