Break off a stream that is closed before its first event

What callers would see: a streamed answer without any event, framed as complete, where the replica's run crashed before its first event and the answer had neither a length nor chunks.

Cause: as before, a close of the connection counted as the end of the stream. No event is partial then, so the check at the end of events lets it pass.

Change: where only the close of the connection ends a stream, at least one whole event must have come.

A close between two events remains: nothing in such a stream says that another was due.

--- a/crates/daemon/src/relay/body_check.rs
+++ b/crates/daemon/src/relay/body_check.rs
@@ -18,6 +18,8 @@
 pub enum EarlyEnd {
     #[snafu(display("the stream ends inside an event"))]
     InsideEvent,
+    #[snafu(display("the connection was closed before the first event"))]
+    NoEvent,
 }
 
 /// Checks the end of one body.
@@ -55,13 +57,17 @@
         }
     }
 
-    /// Checks a body whose framing has ended.
+    /// Checks a body whose framing has ended. Where that is the end of the
+    /// connection, only a complete event shows that the endpoint answered at all.
     ///
     /// # Errors
     /// The body was cut although its framing has ended.
     pub fn check_end(&self) -> Result<(), EarlyEnd> {
         match &self.events {
             Some(it) if it.is_partial() => Err(EarlyEnd::InsideEvent),
+            Some(it) if self.framing == Framing::Close && it.events() == 0 => {
+                Err(EarlyEnd::NoEvent)
+            }
             _ => Ok(()),
         }
     }
