Check the end of events in a buffered answer too

What callers would see: on a route that isn't a stream, a success whose events are cut.

Cause: a buffered answer was complete when the HTTP library said so, which a close of the connection is without a length and chunks.

Change: the same check as for streams decides; a cut answer is improper, so that it is tried elsewhere where the request may be repeated and is unknown otherwise. A failure on a stream route isn't taken for events. a_buffered_body_that_ends_inside_an_event_is_not_a_success failed before (200) and passes now. whole_events_before_a_cut_reach_the_caller passed before; it guards what callers resume from.

--- a/crates/daemon/src/relay/body_check.rs
+++ b/crates/daemon/src/relay/body_check.rs
@@ -31,8 +31,8 @@
 }
 
 impl BodyCheck {
-    /// Creates the check of a response's body. On a stream route, a body without a
-    /// framing of its own is taken as events whatever its type.
+    /// Creates the check of a response's body. If the response should be a stream, a
+    /// body without a framing of its own is taken as events whatever its type.
     pub fn new(response: &Response<impl Body>, is_stream: bool) -> Self {
         let framing = Framing::of(response);
         let unframed_stream = is_stream && framing == Framing::Close;
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -177,14 +177,14 @@
             Ok(Err(err)) => return Reply::Lost(err),
             Ok(Ok(it)) => it,
         };
-        let is_stream = self.request.route.retry.is_stream();
-        let check = BodyCheck::new(&response, is_stream);
+        let is_stream = response.status().is_success() && self.request.route.retry.is_stream();
+        let mut check = BodyCheck::new(&response, is_stream);
         self.record.set_framing(check.framing());
         if let Some(reply) = check_head(names, &self.request, &response) {
             return reply;
         }
         self.relay.record_run_time(&self.request.pool, self.body.len(), began.elapsed());
-        if response.status().is_success() && is_stream {
+        if is_stream {
             return Reply::Stream(response, check, lease);
         }
         let (head, body) = response.into_parts();
@@ -192,8 +192,12 @@
             Err(_) => Reply::TimedOut,
             Ok(Err(_)) => Reply::Improper("the body ended early or is too large"),
             Ok(Ok(body)) => {
-                lease.release();
                 let body = body.to_bytes();
+                check.push(&body);
+                if check.check_end().is_err() {
+                    return Reply::Improper("the events of the body ended early");
+                }
+                lease.release();
                 match head.status.is_server_error() {
                     true => Reply::Failed(head, body),
                     false => Reply::Complete(head, body),
--- a/crates/harness/tests/relay.rs
+++ b/crates/harness/tests/relay.rs
@@ -11,6 +11,8 @@
 };
 
 const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+/// `EVENTS`, cut inside the last event.
+const CUT_EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: t";
 const FRAMINGS: [AnswerFraming; 3] =
     [AnswerFraming::Length, AnswerFraming::Chunked, AnswerFraming::Close];
 
@@ -25,7 +27,7 @@
     StreamAnswer { framing: AnswerFraming::Length, text: EVENTS.to_owned(), end: AnswerEnd::Framed }
 }
 
-fn start() -> System {
+fn start(retry: RetryPolicy) -> System {
     let spec = ClusterSpec {
         args: ["--relay-listen", "127.0.0.1:0"].map(ToOwned::to_owned).to_vec(),
         ..ClusterSpec::new(1, 0)
@@ -36,7 +38,7 @@
     let backend = ScriptedEndpoint::start(Box::new(move |seen, _| {
         shared.lock().expect("no thread panics while it holds the lock").steps(seen)
     }));
-    let catalog = relay_catalog(relay_route(RetryPolicy::Stream));
+    let catalog = relay_catalog(relay_route(retry));
     let posted = cluster.operator().post::<serde_json::Value>("/v1/catalog", &catalog);
     posted.expect("the catalog is accepted");
     let system = System { cluster, backend, answer };
@@ -69,7 +71,7 @@
 
 #[test]
 fn a_whole_stream_is_complete_in_each_framing() {
-    let system = start();
+    let system = start(RetryPolicy::Stream);
 
     let complete = system.complete_endings(EVENTS, &[AnswerEnd::Framed]);
 
@@ -78,7 +80,7 @@
 
 #[test]
 fn a_reset_stream_is_never_ended_as_complete() {
-    let system = start();
+    let system = start(RetryPolicy::Stream);
 
     let complete = system.complete_endings(EVENTS, &[AnswerEnd::Reset]);
 
@@ -87,19 +89,47 @@
 
 #[test]
 fn a_stream_that_ends_inside_an_event_is_never_ended_as_complete() {
-    let system = start();
-    let inside = EVENTS.strip_suffix("wo\n\n").expect("the last event is cut");
-
-    let complete = system.complete_endings(inside, &[AnswerEnd::Framed, AnswerEnd::Closed]);
+    let system = start(RetryPolicy::Stream);
+    let complete = system.complete_endings(CUT_EVENTS, &[AnswerEnd::Framed, AnswerEnd::Closed]);
 
     assert!(complete.is_empty(), "{complete:?}");
 }
 
 #[test]
 fn a_stream_closed_before_its_first_event_is_never_ended_as_complete() {
-    let system = start();
+    let system = start(RetryPolicy::Stream);
 
     let complete = system.complete_endings("", &[AnswerEnd::Closed]);
 
     assert!(complete.is_empty(), "{complete:?}");
 }
+
+#[test]
+fn whole_events_before_a_cut_reach_the_caller() {
+    let system = start(RetryPolicy::Stream);
+    let endings = FRAMINGS.map(|framing| StreamAnswer {
+        framing,
+        text: CUT_EVENTS.to_owned(),
+        end: AnswerEnd::Closed,
+    });
+
+    for answer in endings {
+        let got = system.call(answer);
+
+        assert!(got.text().contains("data: one\n\n"), "{got:?}");
+    }
+}
+
+#[test]
+fn a_buffered_body_that_ends_inside_an_event_is_not_a_success() {
+    let system = start(RetryPolicy::Once);
+    let answer = StreamAnswer {
+        framing: AnswerFraming::Close,
+        text: CUT_EVENTS.to_owned(),
+        end: AnswerEnd::Closed,
+    };
+
+    let got = system.call(answer);
+
+    assert_eq!(got.status, 502, "{}", got.text());
+}
