Cut a streamed answer to a caller if the core loop ends before it

What callers would see: on the project's own interface, a stream without its last event that is framed as complete, when the instance ends (a time limit of a stop that has passed, a fatal error) with the request unfinished.

Cause: the body of events ended in the ordinary way when its channel was closed, finished or not.

Change: it ends with an error, logged with the request's id, so that the connection is closed without the last chunk.

--- a/crates/daemon/src/callers/body.rs
+++ b/crates/daemon/src/callers/body.rs
@@ -2,13 +2,16 @@
 
 use {
     super::reply::{CallerReply, into_answer},
-    crate::event::{Event, Inbox},
+    crate::{
+        event::{Event, Inbox},
+        flushed_body::FlushedBody,
+    },
     coord::{ids::RequestId, wire::CallerEvent},
     http_body_util::{Either, Full},
     hyper::body::{Body, Bytes, Frame},
     serde::Serialize,
     std::{
-        convert::Infallible,
+        io,
         pin::Pin,
         task::{Context, Poll},
     },
@@ -16,7 +19,7 @@
 };
 
 /// A complete body or a stream of server-sent events.
-pub type AnswerBody = Either<Full<Bytes>, EventBody>;
+pub type AnswerBody = Either<Full<Bytes>, FlushedBody<EventBody>>;
 
 /// Abandons a request in the core loop if it is dropped before its answer is
 /// complete, as when the caller disconnects.
@@ -46,7 +49,9 @@
     }
 }
 
-/// The server-sent events of one request, each sent as soon as it is ready.
+/// The server-sent events of one request, each sent as soon as it is ready. If the
+/// core loop ends before the request, the connection is closed, so that the body
+/// never looks complete.
 pub struct EventBody {
     request: RequestId,
     first: Option<CallerReply>,
@@ -85,12 +90,12 @@
 
 impl Body for EventBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.guard.done {
             return Poll::Ready(None);
         }
@@ -100,7 +105,11 @@
         };
         match next {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(None) => Poll::Ready(None),
+            // The core loop has ended without finishing the request.
+            Poll::Ready(None) => {
+                log::warn!(request:% = self.request; "[callers] answer cut, the core loop has ended");
+                Poll::Ready(Some(Err(io::ErrorKind::BrokenPipe.into())))
+            }
             Poll::Ready(Some(reply)) => {
                 let event = self.event(reply);
                 let text = format!("data: {}\n\n", json_text(&event));
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -5,7 +5,10 @@
         body::{AnswerBody, DisconnectGuard, EventBody, json_text},
         reply::{CallerReply, caller_error, into_answer, status_code},
     },
-    crate::event::{Event, Inbox},
+    crate::{
+        event::{Event, Inbox},
+        flushed_body::FlushedBody,
+    },
     coord::{
         ids::RequestId,
         router::{Failure, Reason, Submission},
@@ -194,7 +197,7 @@
     let answer = Response::builder()
         .header(CONTENT_TYPE, "text/event-stream")
         .header(CACHE_CONTROL, "no-store")
-        .body(Either::Right(body));
+        .body(Either::Right(FlushedBody::new(body)));
     answer.expect("the response headers are valid")
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 mod endpoints;
 pub mod event;
+mod flushed_body;
 pub mod operators;
 pub mod peers;
 pub mod relay;
--- /dev/null
+++ b/crates/daemon/tests/callers.rs
@@ -0,0 +1,82 @@
+//! How streamed answers to callers end.
+
+use {
+    coord::{ids::RequestId, router::Finish},
+    daemon::{
+        callers::{CallerContext, CallerReply, serve},
+        event::{Event, Inbox},
+    },
+    harness::{RawResponse, connect, exchange},
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, atomic::AtomicBool, mpsc::sync_channel},
+        thread,
+    },
+};
+
+/// Starts a callers' listener before a core loop that sends these replies to each
+/// request and then drops it.
+fn start(replies: impl Fn(RequestId) -> Vec<CallerReply> + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("a listener can be non-blocking");
+    let addr = listener.local_addr().expect("a bound listener has an address");
+    let (sender, events) = sync_channel(16);
+    let context = CallerContext {
+        inbox: Inbox::new(sender),
+        max_body: 1024,
+        max_connections: 16,
+        ready: Arc::new(AtomicBool::new(true)),
+    };
+    thread::spawn(move || {
+        for event in events {
+            if let Event::Submit { submission, reply } = event {
+                replies(submission.id).into_iter().for_each(|it| drop(reply.send(it)));
+            }
+        }
+    });
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("the runtime starts").block_on(serve(listener, context));
+    });
+    addr
+}
+
+fn piece(number: u32) -> CallerReply {
+    CallerReply::Piece { number, data: "text".to_owned() }
+}
+
+fn finish() -> CallerReply {
+    CallerReply::Finish(Box::new(Finish {
+        result: Ok("text".to_owned()),
+        stages: Vec::new(),
+        stored: false,
+    }))
+}
+
+fn stream(addr: SocketAddr) -> RawResponse {
+    let body = r#"{"route":"r","team":"t","class":"interactive","deadline_ms":1000,"stream":true,"input":""}"#;
+    let request = format!(
+        "POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    exchange(&mut connect(addr), &request)
+}
+
+#[test]
+fn a_finished_stream_is_complete() {
+    let addr = start(|_| vec![piece(0), finish()]);
+
+    let got = stream(addr);
+
+    assert!(got.complete && got.text().contains("done"), "{got:?}");
+}
+
+#[test]
+fn a_stream_that_the_core_loop_drops_is_never_ended_as_complete() {
+    let addr = start(|_| vec![piece(0)]);
+
+    let got = stream(addr);
+
+    assert_eq!(got.status, 200);
+    assert!(!got.complete, "{}", got.text());
+}
