Reset the connection of a caller without chunks if its answer is cut

What callers would see: a caller that speaks HTTP/1.0 gets a stream without a length, ended by its connection; an answer that was cut ended in the same way as a whole one.

Cause: the relay and the callers' listener mark a cut answer by closing the connection without the last chunk, and such a caller gets no chunks.

Change: if a connection ends with an error and its last request was older than HTTP/1.1, it is closed with a reset. The tests a_cut_stream_is_reset_for_a_caller_without_chunks (harness, relay; daemon, callers) failed before and pass now; whole answers still end in the ordinary way there.

--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -8,6 +8,7 @@
     crate::{
         event::{Event, Inbox},
         flushed_body::FlushedBody,
+        reset::ChunkSupport,
     },
     coord::{
         ids::RequestId,
@@ -82,13 +83,21 @@
         let _ = stream.set_nodelay(true);
         let context = context.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |it| answer(context.clone(), it));
+            let support = Arc::new(ChunkSupport::default());
+            let noted = support.clone();
+            let service = service_fn(move |it| {
+                noted.note(&it);
+                answer(context.clone(), it)
+            });
             let mut server = http1::Builder::new();
             server
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT)
                 .max_buf_size(MAX_HEADER_BYTES);
-            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+            let mut connection = server.serve_connection(TokioIo::new(stream), service);
+            if (&mut connection).await.is_err() {
+                support.close_failed(connection.into_parts().io.into_inner());
+            }
             drop(permit);
         });
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod operators;
 pub mod peers;
 pub mod relay;
+mod reset;
 pub mod run;
 pub mod settings;
 pub mod telemetry;
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -11,7 +11,7 @@
         stages::{self, StageResults},
         upstream::configure_socket,
     },
-    crate::accept::accept,
+    crate::{accept::accept, reset::ChunkSupport},
     coord::time::Millis,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
@@ -25,7 +25,7 @@
     std::{
         convert::Infallible,
         net::TcpListener,
-        pin::pin,
+        pin::Pin,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -100,16 +100,28 @@
     server.timer(TokioTimer::new()).header_read_timeout(idle);
     server.max_buf_size((limits.max_head.0 as usize).max(MIN_BUFFER_BYTES));
     let drain = relay.drain.clone();
-    let service = service_fn(move |request| handle(relay.clone(), request));
-    let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
-    // Connection errors are not logged here: each request logs its own outcome.
-    if drain.phase() < DrainPhase::Closed {
-        tokio::select! {
-            _ = &mut connection => return,
-            () = drain.closed() => connection.as_mut().graceful_shutdown(),
+    let support = Rc::new(ChunkSupport::default());
+    let noted = support.clone();
+    let service = service_fn(move |request| {
+        noted.note(&request);
+        handle(relay.clone(), request)
+    });
+    let mut connection = server.serve_connection(TokioIo::new(stream), service);
+    let ended = tokio::select! {
+        it = &mut connection => Some(it),
+        () = drain.closed(), if drain.phase() < DrainPhase::Closed => None,
+    };
+    let ended = match ended {
+        Some(it) => it,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
+    };
+    // Connection errors are not logged here: each request logs its own outcome.
+    if ended.is_err() {
+        support.close_failed(connection.into_parts().io.into_inner());
     }
-    let _ = connection.await;
 }
 
 /// Minimum size of the server's read buffer.
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -53,10 +53,10 @@
     }))
 }
 
-fn stream(addr: SocketAddr) -> RawResponse {
+fn stream(addr: SocketAddr, version: &str) -> RawResponse {
     let body = r#"{"route":"r","team":"t","class":"interactive","deadline_ms":1000,"stream":true,"input":""}"#;
     let request = format!(
-        "POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+        "POST /v1/requests {version}\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
     exchange(&mut connect(addr), &request)
@@ -66,17 +66,26 @@
 fn a_finished_stream_is_complete() {
     let addr = start(|_| vec![piece(0), finish()]);
 
-    let got = stream(addr);
+    let got = ["HTTP/1.1", "HTTP/1.0"].map(|it| stream(addr, it));
 
-    assert!(got.complete && got.text().contains("done"), "{got:?}");
+    assert!(got.iter().all(|it| it.complete && it.text().contains("done")), "{got:?}");
 }
 
 #[test]
 fn a_stream_that_the_core_loop_drops_is_never_ended_as_complete() {
     let addr = start(|_| vec![piece(0)]);
 
-    let got = stream(addr);
+    let got = stream(addr, "HTTP/1.1");
 
     assert_eq!(got.status, 200);
     assert!(!got.complete, "{}", got.text());
 }
+
+#[test]
+fn a_cut_stream_is_reset_for_a_caller_without_chunks() {
+    let addr = start(|_| vec![piece(0)]);
+
+    let got = stream(addr, "HTTP/1.0");
+
+    assert!(!got.complete, "{}", got.text());
+}
--- a/crates/harness/tests/relay.rs
+++ b/crates/harness/tests/relay.rs
@@ -49,10 +49,16 @@
 impl System {
     /// Sends a request that the endpoint answers like this.
     fn call(&self, answer: StreamAnswer) -> RawResponse {
+        self.call_by("HTTP/1.1", answer)
+    }
+
+    /// As `call`, by a caller that speaks this version.
+    fn call_by(&self, version: &str, answer: StreamAnswer) -> RawResponse {
         *self.answer.lock().expect("no thread panics while it holds the lock") = answer;
         let daemon = self.cluster.daemon(0);
         daemon.announce(&relay_endpoint("e", "app", self.backend.addr));
-        exchange(&mut connect(daemon.relay_addr()), &relay_request("id1", "", ""))
+        let request = relay_request("id1", "", "").replace("HTTP/1.1", version);
+        exchange(&mut connect(daemon.relay_addr()), &request)
     }
 
     /// Sends a request for each framing and way to end an answer with this text, and
@@ -104,6 +110,22 @@
     assert!(complete.is_empty(), "{complete:?}");
 }
 
+#[test]
+fn a_cut_stream_is_reset_for_a_caller_without_chunks() {
+    let system = start(RetryPolicy::Stream);
+    let answer = |text: &str| StreamAnswer {
+        framing: AnswerFraming::Close,
+        text: text.to_owned(),
+        end: AnswerEnd::Closed,
+    };
+
+    let whole = system.call_by("HTTP/1.0", answer(EVENTS));
+    let cut = system.call_by("HTTP/1.0", answer(CUT_EVENTS));
+
+    assert!(whole.complete, "{whole:?}");
+    assert_eq!((cut.status, cut.complete), (200, false), "{}", cut.text());
+}
+
 #[test]
 fn whole_events_before_a_cut_reach_the_caller() {
     let system = start(RetryPolicy::Stream);
