Test cut answers of stages and of the project's own endpoints

The cause of the partial streams was looked for wherever bytes of an endpoint are read. Two readers hold already, for a length, chunks and a close without framing, and now have a test that says so: pieces of a stage (the body has to parse as a whole) and the project's own endpoints (the last line has to come). Peers and batchers on other instances talk in framed messages of WebSocket; there are no probes of endpoints.

The stand-in's answer takes a content type, as it no longer serves streams alone.

--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -16,7 +16,7 @@
         read_response, request, route, scripted, signed_ok, signed_response, stage, start,
         start_with_members, with_team,
     },
-    standin::{ScriptedEndpoint, Step},
+    standin::{AnswerEnd, AnswerFraming, FramedAnswer, ScriptedEndpoint, Step},
     std::{
         io::Write,
         net::SocketAddr,
@@ -459,6 +459,31 @@
     assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
 }
 
+/// The reply to a stage request whose endpoint answers like this.
+fn reply_to_piece(text: &'static str, framing: AnswerFraming, end: AnswerEnd) -> StageReply {
+    let media = "application/json";
+    let answer = FramedAnswer { media, framing, text: text.to_owned(), end };
+    let pieces = scripted(move |seen, _| answer.steps(seen));
+    submit_piece(&split_relay(pieces.addr)).blocking_recv().expect("a reply")
+}
+
+#[test]
+fn pieces_of_a_cut_answer_are_not_used() {
+    let cut = "{\"results\":[{\"Ok\":\"h\"}]";
+    let whole = "{\"results\":[{\"Ok\":\"h\"}]}";
+    for framing in [AnswerFraming::Length, AnswerFraming::Chunked, AnswerFraming::Close] {
+        for end in [AnswerEnd::Framed, AnswerEnd::Closed, AnswerEnd::Reset] {
+            let reply = reply_to_piece(cut, framing, end);
+
+            assert!(reply.answer.is_err(), "{framing:?} {end:?}");
+        }
+
+        let reply = reply_to_piece(whole, framing, AnswerEnd::Framed);
+
+        assert!(reply.answer.is_ok(), "{framing:?}");
+    }
+}
+
 #[test]
 fn a_running_call_is_answered_after_its_domain_goes_out_of_service() {
     let pieces = scripted(|seen, _| {
--- a/crates/harness/tests/endpoints.rs
+++ b/crates/harness/tests/endpoints.rs
@@ -6,16 +6,18 @@
 use {
     coord::{
         ids::{EndpointName, Slots},
-        tables::{Edit, Target},
-        time::WallTime,
+        tables::{Edit, Pool, PoolKind, Route, Stage, Target},
+        time::{Millis, WallTime},
         wire::CallerRequest,
     },
     fixture::{
         System, endpoint_spec, endpoint_specs, model_stages, new_request, start_system,
         start_system_with,
     },
-    harness::{CallerResult, ClusterSpec, Fault, LONG_TIMEOUT, Proxy, StandIns, wait_until},
-    standin::{Control, EndpointSpec},
+    harness::{
+        CallerResult, ClusterSpec, Fault, LONG_TIMEOUT, Proxy, StandIns, relay_endpoint, wait_until,
+    },
+    standin::{AnswerEnd, AnswerFraming, Control, EndpointSpec, FramedAnswer, ScriptedEndpoint},
     std::{
         io::Write,
         net::{Shutdown, TcpStream},
@@ -389,3 +391,61 @@
         );
     }
 }
+
+/// Starts an instance with a route of one stage, whose endpoint ends its answers like
+/// this, and returns the result of a request.
+fn call_ended(framing: AnswerFraming, end: AnswerEnd, cut: bool) -> CallerResult {
+    let cluster = ClusterSpec::new(1, 0).start();
+    let pool = Pool { name: "ledger".parse().expect("a valid name"), kind: PoolKind::Service };
+    let stage = Stage {
+        name: pool.name.as_str().parse().expect("a valid name"),
+        pool: pool.name.clone(),
+        after: Vec::new(),
+        effect: false,
+    };
+    let route = Route {
+        name: "notes".parse().expect("a valid name"),
+        stages: vec![stage],
+        deadline: Millis(1000),
+    };
+    let edit = Edit::Replace { routes: vec![route], pools: vec![pool] };
+    cluster.operator().edit(vec![edit]).expect("the tables are accepted");
+    let backend = ScriptedEndpoint::start(Box::new(move |seen, _| {
+        let run: serde_json::Value = serde_json::from_slice(&seen.body).unwrap_or_default();
+        let line = |kind: &str, more: serde_json::Value| {
+            let mut line = serde_json::json!({ "kind": kind });
+            let fields = line.as_object_mut().expect("an object");
+            for name in ["request", "stage", "attempt"] {
+                fields.insert(name.to_owned(), run[name].clone());
+            }
+            fields.extend(more.as_object().expect("an object").clone());
+            line.to_string()
+        };
+        let piece = line("piece", serde_json::json!({ "number": 0, "data": "text" }));
+        let done = line("done", serde_json::json!({ "pieces": 1, "tokens": 1 }));
+        let last = if cut { &done[..done.len() - 1] } else { &done };
+        let text = format!("{piece}\n{last}");
+        FramedAnswer { media: "application/json", framing, text, end }.steps(seen)
+    }));
+    let endpoint = relay_endpoint("e", "ledger", backend.addr);
+    wait_until("the endpoint is granted", LONG_TIMEOUT, || {
+        cluster.daemon(0).announce(&endpoint);
+        let status = cluster.operator().status();
+        status.is_ok_and(|it| it.endpoints.iter().any(|e| e.granted > Slots(0)))
+    });
+    let request = CallerRequest { deadline_ms: 1000, ..new_request("notes", "input") };
+    cluster.daemon(0).caller().send(&request)
+}
+
+#[test]
+fn an_answer_whose_last_line_is_cut_is_not_complete() {
+    for framing in [AnswerFraming::Length, AnswerFraming::Chunked, AnswerFraming::Close] {
+        let whole = call_ended(framing, AnswerEnd::Framed, false);
+        let cut = call_ended(framing, AnswerEnd::Framed, true);
+        let closed = call_ended(framing, AnswerEnd::Closed, true);
+
+        assert!(whole.complete().is_some(), "{framing:?} {whole:?}");
+        assert!(cut.complete().is_none(), "{framing:?} {cut:?}");
+        assert!(closed.complete().is_none(), "{framing:?} {closed:?}");
+    }
+}
--- a/crates/harness/tests/relay.rs
+++ b/crates/harness/tests/relay.rs
@@ -6,10 +6,11 @@
         Cluster, ClusterSpec, LONG_TIMEOUT, RawResponse, connect, exchange, relay_catalog,
         relay_endpoint, relay_request, relay_route, wait_until,
     },
-    standin::{AnswerEnd, AnswerFraming, ScriptedEndpoint, StreamAnswer},
+    standin::{AnswerEnd, AnswerFraming, FramedAnswer, ScriptedEndpoint},
     std::sync::{Arc, Mutex},
 };
 
+const EVENT_STREAM: &str = "text/event-stream";
 const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
 /// `EVENTS`, cut inside the last event.
 const CUT_EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: t";
@@ -20,11 +21,16 @@
 struct System {
     cluster: Cluster,
     backend: ScriptedEndpoint,
-    answer: Arc<Mutex<StreamAnswer>>,
+    answer: Arc<Mutex<FramedAnswer>>,
 }
 
-fn whole_answer() -> StreamAnswer {
-    StreamAnswer { framing: AnswerFraming::Length, text: EVENTS.to_owned(), end: AnswerEnd::Framed }
+fn whole_answer() -> FramedAnswer {
+    FramedAnswer {
+        media: EVENT_STREAM,
+        framing: AnswerFraming::Length,
+        text: EVENTS.to_owned(),
+        end: AnswerEnd::Framed,
+    }
 }
 
 fn start(retry: RetryPolicy) -> System {
@@ -48,12 +54,12 @@
 
 impl System {
     /// Sends a request that the endpoint answers like this.
-    fn call(&self, answer: StreamAnswer) -> RawResponse {
+    fn call(&self, answer: FramedAnswer) -> RawResponse {
         self.call_by("HTTP/1.1", answer)
     }
 
     /// As `call`, by a caller that speaks this version.
-    fn call_by(&self, version: &str, answer: StreamAnswer) -> RawResponse {
+    fn call_by(&self, version: &str, answer: FramedAnswer) -> RawResponse {
         *self.answer.lock().expect("no thread panics while it holds the lock") = answer;
         let daemon = self.cluster.daemon(0);
         daemon.announce(&relay_endpoint("e", "app", self.backend.addr));
@@ -63,9 +69,10 @@
 
     /// Sends a request for each framing and way to end an answer with this text, and
     /// returns those whose response was complete to the caller.
-    fn complete_endings(&self, text: &str, ends: &[AnswerEnd]) -> Vec<StreamAnswer> {
+    fn complete_endings(&self, text: &str, ends: &[AnswerEnd]) -> Vec<FramedAnswer> {
         let answers = FRAMINGS.iter().flat_map(|framing| {
-            ends.iter().map(|end| StreamAnswer {
+            ends.iter().map(|end| FramedAnswer {
+                media: EVENT_STREAM,
                 framing: *framing,
                 text: text.to_owned(),
                 end: *end,
@@ -113,7 +120,8 @@
 #[test]
 fn a_cut_stream_is_reset_for_a_caller_without_chunks() {
     let system = start(RetryPolicy::Stream);
-    let answer = |text: &str| StreamAnswer {
+    let answer = |text: &str| FramedAnswer {
+        media: EVENT_STREAM,
         framing: AnswerFraming::Close,
         text: text.to_owned(),
         end: AnswerEnd::Closed,
@@ -129,7 +137,8 @@
 #[test]
 fn whole_events_before_a_cut_reach_the_caller() {
     let system = start(RetryPolicy::Stream);
-    let endings = FRAMINGS.map(|framing| StreamAnswer {
+    let endings = FRAMINGS.map(|framing| FramedAnswer {
+        media: EVENT_STREAM,
         framing,
         text: CUT_EVENTS.to_owned(),
         end: AnswerEnd::Closed,
@@ -145,7 +154,8 @@
 #[test]
 fn a_buffered_body_that_ends_inside_an_event_is_not_a_success() {
     let system = start(RetryPolicy::Once);
-    let answer = StreamAnswer {
+    let answer = FramedAnswer {
+        media: EVENT_STREAM,
         framing: AnswerFraming::Close,
         text: CUT_EVENTS.to_owned(),
         end: AnswerEnd::Closed,
--- a/crates/standin/src/stream_answer.rs
+++ b/crates/standin/src/framed_answer.rs
@@ -1,4 +1,4 @@
-//! Streamed answers of scripted endpoints, ended in any way.
+//! Answers of scripted endpoints, ended in any way.
 
 use crate::{ReceivedRequest, Step};
 
@@ -11,7 +11,7 @@
     Close,
 }
 
-/// What an endpoint does after the bytes of a stream.
+/// What an endpoint does after the bytes of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerEnd {
     /// Ends the body as its framing requires.
@@ -22,11 +22,13 @@
     Reset,
 }
 
-/// A streamed answer.
+/// A successful answer.
 #[derive(Debug, Clone)]
-pub struct StreamAnswer {
+pub struct FramedAnswer {
+    /// The content type.
+    pub media: &'static str,
     pub framing: AnswerFraming,
-    /// The bytes of the stream, whole or not.
+    /// The bytes of the body, whole or not.
     pub text: String,
     pub end: AnswerEnd,
 }
@@ -35,7 +37,7 @@
 /// ended as framed.
 const MISSING_BYTES: usize = 1000;
 
-impl StreamAnswer {
+impl FramedAnswer {
     /// The steps that answer a request.
     pub fn steps(&self, seen: &ReceivedRequest) -> Vec<Step> {
         let framed = self.end == AnswerEnd::Framed;
@@ -53,7 +55,7 @@
             }
             AnswerFraming::Close => (String::new(), text.clone()),
         };
-        let head = format!("content-type: text/event-stream\r\n{framing}");
+        let head = format!("content-type: {}\r\n{framing}", self.media);
         let mut steps = vec![Step::Send(signed_response(seen, "200 OK", &head, &body))];
         match self.end {
             AnswerEnd::Framed if self.framing != AnswerFraming::Close => {}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,18 +3,18 @@
 mod announce;
 mod control;
 mod endpoint;
+mod framed_answer;
 mod record;
 mod scripted;
 mod server;
 mod spec;
-mod stream_answer;
 
 pub mod run;
 
 pub use {
     control::Control,
+    framed_answer::{AnswerEnd, AnswerFraming, FramedAnswer, signed_response},
     record::{Record, RunRecord},
     scripted::{ReceivedRequest, Script, ScriptedEndpoint, Step, header},
     spec::{EndpointSpec, Kind},
-    stream_answer::{AnswerEnd, AnswerFraming, StreamAnswer, signed_response},
 };
