Keep what endpoints say of themselves, one row an incarnation

Endpoints can say in an answer that they are leaving, or ask for a pause; until now the relay knew neither and went on sending. Queues of pieces withhold calls, and count the time until the first endpoint returns into what they expect, so that what can't be done in time is refused at once.

--- a/crates/coord/src/relay/batch_queue.rs
+++ b/crates/coord/src/relay/batch_queue.rs
@@ -101,6 +101,8 @@
     used: u64,
     failures: u32,
     paused_until: Time,
+    /// Until when the endpoint wants no calls.
+    withheld_until: Time,
     /// Room, in bytes, that results of other batchers occupied when the endpoint
     /// was last full, and the time of that observation.
     foreign_used: (u64, Time),
@@ -119,6 +121,9 @@
 }
 
 impl BatchQueue {
+    /// The end of a pause of an endpoint that gets no more calls.
+    pub const NEVER: Time = Time(u64::MAX);
+
     /// Creates an empty queue without endpoints.
     pub fn new(spec: BatchTerms) -> Self {
         Self {
@@ -139,6 +144,18 @@
         }
     }
 
+    /// Sets until when an endpoint gets no calls.
+    pub fn withhold(&mut self, endpoint: &EndpointName, until: Time) {
+        if let Some(load) = self.loads.get_mut(endpoint) {
+            load.withheld_until = until;
+        }
+    }
+
+    /// Whether there are endpoints, and none gets a call again.
+    pub fn is_deserted(&self) -> bool {
+        !self.loads.is_empty() && self.loads.values().all(|it| it.withheld_until == Self::NEVER)
+    }
+
     /// Removes all endpoints, so that no further calls are made.
     pub fn drain(&mut self) {
         self.loads.clear();
@@ -175,6 +192,7 @@
         self.last_expiry = now;
         let piece_time = self.piece_time();
         let least = self.call_duration(1);
+        let withheld = self.withheld_time(now);
         self.sort(now);
         let mut expired: IndexMap<GroupId, Millis> = IndexMap::new();
         let mut ahead = 0.0;
@@ -182,7 +200,7 @@
             if expired.contains_key(&it.group) {
                 continue;
             }
-            let wait = Millis((ahead * piece_time) as u64);
+            let wait = withheld + Millis((ahead * piece_time) as u64);
             if now + wait + least > it.deadline {
                 expired.insert(it.group, wait);
             }
@@ -194,7 +212,10 @@
 
     /// Whether every endpoint is paused after a failed call.
     pub fn is_down(&self, now: Time) -> bool {
-        self.loads.values().all(|it| it.failures > 0 && it.paused_until > now)
+        let is_down = |it: &EndpointLoad| {
+            it.withheld_until == Self::NEVER || it.failures > 0 && it.paused_until > now
+        };
+        self.loads.values().all(is_down)
     }
 
     /// Estimates how long a piece queued now would wait.
@@ -203,7 +224,7 @@
         let before = self.waiting.iter().filter(|it| {
             now + call <= it.target && (it.priority <= priority || self.started.contains(&it.group))
         });
-        Millis((before.count() as f64 * self.piece_time()) as u64)
+        self.withheld_time(now) + Millis((before.count() as f64 * self.piece_time()) as u64)
     }
 
     /// Returns the next call, if an endpoint is free and a piece fits. Pieces that
@@ -237,7 +258,8 @@
     /// Returns when to check the queue again if pieces are queued: at the end of
     /// an endpoint's pause or at the next scan for missed deadlines.
     pub fn next_wake(&self, now: Time) -> Option<Time> {
-        let pauses = self.loads.values().map(|it| it.paused_until);
+        let pauses = self.loads.values().map(|it| it.paused_until.max(it.withheld_until));
+        let pauses = pauses.filter(|it| *it != Self::NEVER);
         let times = pauses.chain([self.last_expiry + EXPIRY_INTERVAL]).filter(|it| *it > now);
         times.min().filter(|_| !self.waiting.is_empty())
     }
@@ -288,6 +310,12 @@
         self.spec.call_duration(pieces as u32)
     }
 
+    /// Returns how long no endpoint wants calls.
+    fn withheld_time(&self, now: Time) -> Millis {
+        let ends = self.loads.values().map(|it| it.withheld_until);
+        ends.min().filter(|it| *it != Self::NEVER).map_or(Millis(0), |it| it.since(now))
+    }
+
     /// Time per piece, in milliseconds, if all endpoints run full calls in
     /// parallel.
     fn piece_time(&self) -> f64 {
@@ -316,7 +344,9 @@
     /// Returns the endpoints that may be called: those with the fewest calls first,
     /// then those with the least room occupied.
     fn free_endpoints(&self, now: Time) -> Vec<EndpointName> {
-        let free = |load: &EndpointLoad| load.calls < self.spec.slots.0 && load.paused_until <= now;
+        let free = |load: &EndpointLoad| {
+            load.calls < self.spec.slots.0 && load.paused_until.max(load.withheld_until) <= now
+        };
         let mut loads: Vec<_> = self.loads.iter().filter(|(_, load)| free(load)).collect();
         loads.sort_by_key(|(_, load)| (load.calls, load.used));
         loads.into_iter().map(|(name, _)| name.clone()).collect()
@@ -354,6 +384,7 @@
             used: 0,
             failures: 0,
             paused_until: Time(0),
+            withheld_until: Time(0),
             foreign_used: (0, Time(0)),
         }
     }
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod batch_queue;
 mod candidates;
+mod endpoint_notices;
 mod event_scanner;
 mod placer;
 mod preferred_domain;
@@ -15,6 +16,7 @@
     attempts::{AttemptOutcome, Attempts, NextAction},
     batch_queue::{BatchCall, BatchQueue, CallOutcome, GroupId, Piece, PieceId},
     candidates::{batcher_candidates, entry_addrs, rank},
+    endpoint_notices::{Availability, EndpointNotices, MAX_PAUSE, parse_pause},
     event_scanner::EventScanner,
     placer::{Placer, Preferences},
     preferred_domain::preferred_domain,
