Send nothing to endpoints that leave or want a pause

What a replica would see: requests after its answer had said that it leaves, and in the time for which its 503 with Retry-After asked for none.

Each request to an endpoint, first sends, retries, pieces and the freeing of results, goes through one place, which now reads the notices from the head of each answer and checks them at the moment of the send. Idle connections to a leaving endpoint are closed, answers that run are finished. If all endpoints of a pool want a pause, a request waits for the first return, spread over 300 ms, or is refused at once with its time ('paused') where its deadline doesn't allow that.

Weighed and left out: telling other instances, who learn it from heartbeats and their own answers. The project's own endpoints (POST /run) don't have the two facts yet.

--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -4,6 +4,7 @@
     super::{
         BatcherEvent, Dialect, Handle, PieceError, PieceItem, PieceResult, StageReply,
         StageRequest, StoredResult,
+        notices::Notices,
         relay::time_since,
         shard_batcher::{CallError, QueuedPiece, ShardBatcher},
         upstream::Upstream,
@@ -49,6 +50,7 @@
 pub struct Batchers {
     dialect: Arc<Dialect>,
     upstream: Rc<Upstream>,
+    notices: Rc<Notices>,
     shards: RefCell<IndexMap<Shard, ShardBatcher>>,
     weak_self: Weak<Self>,
     next_piece: Cell<u64>,
@@ -71,10 +73,16 @@
 
 impl Batchers {
     /// Creates the batchers without any shard.
-    pub fn new(dialect: Arc<Dialect>, upstream: Rc<Upstream>, start: Instant) -> Rc<Self> {
+    pub fn new(
+        dialect: Arc<Dialect>,
+        upstream: Rc<Upstream>,
+        notices: Rc<Notices>,
+        start: Instant,
+    ) -> Rc<Self> {
         Rc::new_cyclic(|weak_self| Self {
             dialect,
             upstream,
+            notices,
             shards: RefCell::default(),
             weak_self: weak_self.clone(),
             next_piece: Cell::new(0),
@@ -187,8 +195,9 @@
         let Some(batcher) = shards.get_mut(shard) else {
             return;
         };
+        batcher.apply_notices(now, &self.notices.table());
         let down = shard.domain.is_some() && batcher.queue.is_down(now);
-        if down || batcher.endpoints.is_empty() {
+        if down || batcher.endpoints.is_empty() || batcher.queue.is_deserted() {
             batcher.fail_all(PieceError::Down);
         }
         for (group, wait) in batcher.queue.expire(now) {
--- a/crates/daemon/src/relay/dialect.rs
+++ b/crates/daemon/src/relay/dialect.rs
@@ -25,6 +25,8 @@
     pub signature: HeaderName,
     /// Present if the endpoint has not run the request.
     pub not_run: HeaderName,
+    /// `1` if the endpoint is leaving.
+    pub leaving: HeaderName,
     /// Parts of the prompt in order, as comma-separated `ID:TOKENS`.
     pub parts: HeaderName,
     /// Comma-separated numbers of pieces, one per stage.
@@ -106,6 +108,7 @@
             endpoint: name("mangobend-endpoint"),
             signature: name("mangobend-signature"),
             not_run: name("mangobend-not-run"),
+            leaving: name("mangobend-leaving"),
             parts: name("mangobend-parts"),
             pieces: name("mangobend-pieces"),
             source: name("mangobend-source"),
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -26,8 +26,11 @@
         header::CONTENT_LENGTH,
         http::response::Parts,
     },
-    std::{rc::Rc, time::Instant},
-    tokio::time::timeout_at,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep, timeout_at},
 };
 
 /// The largest response body that is buffered before it is forwarded; streams
@@ -37,6 +40,10 @@
 /// of a few requests.
 const RETRY_AFTER: Millis = Millis(300);
 
+/// Spread of the requests that wait for an endpoint's pause to end: about a time of
+/// a request.
+const RETURN_SPREAD: Millis = Millis(300);
+
 /// The outcome of one attempt at an endpoint.
 enum Reply {
     /// A successful stream whose body is still arriving.
@@ -53,6 +60,8 @@
     Improper(&'static str),
     /// The connection failed before the response head arrived.
     Lost(SendError),
+    /// Nothing was sent, since the endpoint takes no requests now.
+    Withheld,
     /// The caller's deadline passed.
     TimedOut,
 }
@@ -74,17 +83,20 @@
         self.relay.earn_retry(&self.request.pool);
         loop {
             let Some(endpoint) = self.choose(&tried) else {
-                let next = attempts.give_up(AttemptOutcome::NotSent);
-                return self.deny(if next == NextAction::Fail {
-                    Denial::Unknown
-                } else {
-                    Denial::NoEndpoint
-                });
+                let unknown = attempts.give_up(AttemptOutcome::NotSent) == NextAction::Fail;
+                match self.pause_left(&tried) {
+                    _ if unknown => return self.deny(Denial::Unknown),
+                    None => return self.deny(Denial::NoEndpoint),
+                    Some(it) if self.can_wait(it) => sleep(it).await,
+                    Some(it) => return self.deny_until(it),
+                }
+                continue;
             };
             tried.push(endpoint.name.clone());
             attempts.record_send();
             let in_flight = self.relay.begin_attempt(&endpoint.name);
             let reply = self.send(&endpoint).await;
+            let withheld = matches!(reply, Reply::Withheld);
             let (outcome, failure) = match reply {
                 Reply::Stream(response, check, lease) => {
                     self.relay.placer().answered(&endpoint.name);
@@ -99,6 +111,7 @@
                 Reply::InputGone => return self.deny(Denial::Unknown),
                 Reply::Failed(head, body) => (AttemptOutcome::Failed, Some((head, body))),
                 Reply::NotRun => (AttemptOutcome::NotRun, None),
+                Reply::Withheld => (AttemptOutcome::NotSent, None),
                 Reply::Improper(why) => {
                     log::info!(
                         request = self.request.id.as_str(), why = why;
@@ -120,7 +133,9 @@
                 }
             };
             drop(in_flight);
-            self.record_failure(&endpoint, outcome);
+            if !withheld {
+                self.record_failure(&endpoint, outcome);
+            }
             let mut next = attempts.record_outcome(outcome);
             let counted = outcome != AttemptOutcome::NotSent;
             if next == NextAction::Retry && counted && !self.relay.spend_retry(&self.request.pool) {
@@ -147,7 +162,10 @@
             tried,
         };
         let now = self.relay.now();
-        let chosen = self.relay.placer().choose(now, &endpoints, &preferences).cloned();
+        let untried: Vec<&Endpoint> =
+            endpoints.iter().copied().filter(|it| !tried.contains(&it.name)).collect();
+        let usable = self.relay.notices.table().usable(now, &untried);
+        let chosen = self.relay.placer().choose(now, &usable, &preferences).cloned();
         if let Some(it) = &chosen {
             log::info!(
                 request = self.request.id.as_str(), endpoint = it.name.as_str(), addr:% = it.addr,
@@ -160,6 +178,32 @@
         chosen
     }
 
+    /// Returns when to try again if an endpoint that wasn't tried has asked for a pause.
+    /// The time is spread, so that the first endpoint to return doesn't get all waiting
+    /// requests at once.
+    fn pause_left(&self, tried: &[EndpointName]) -> Option<Duration> {
+        let view = self.relay.view();
+        let endpoints = view.endpoints(&self.request.pool).iter();
+        let untried: Vec<&Endpoint> = endpoints.filter(|it| !tried.contains(&it.name)).collect();
+        let now = self.relay.now();
+        let at = self.relay.notices.table().earliest_return(now, &untried)?;
+        let spread = rand::random_range(0..RETURN_SPREAD.0);
+        Some(Duration::from_millis(at.since(now).0 + spread))
+    }
+
+    /// Whether the request can run after this time and still meet its deadline.
+    fn can_wait(&self, time: Duration) -> bool {
+        let run = self.relay.expected_run_time(&self.request.pool, self.body.len());
+        let waits = time + Duration::from_millis(run.0) <= self.request.remaining();
+        log::info!(
+            request = self.request.id.as_str(), pool:% = self.request.pool,
+            left_ms = self.request.remaining().as_millis() as u64,
+            pause_ms = time.as_millis() as u64, waits = waits;
+            "[relay] every endpoint asked for a pause"
+        );
+        waits
+    }
+
     async fn send(&mut self, endpoint: &Endpoint) -> Reply {
         self.record.add_send(endpoint.name.as_str());
         let names = &self.relay.dialect.headers;
@@ -174,6 +218,7 @@
         let sent = timeout_at(deadline, self.relay.upstream.send(endpoint, outgoing)).await;
         let (response, lease) = match sent {
             Err(_) => return Reply::TimedOut,
+            Ok(Err(SendError::Withheld)) => return Reply::Withheld,
             Ok(Err(err)) => return Reply::Lost(err),
             Ok(Ok(it)) => it,
         };
@@ -252,6 +297,11 @@
         let not_run = denial.status() == StatusCode::SERVICE_UNAVAILABLE;
         deny(denial, not_run.then_some(RETRY_AFTER))
     }
+
+    fn deny_until(mut self, time: Duration) -> RelayResponse {
+        self.record.finish(Denial::Paused.name());
+        deny(Denial::Paused, Some(Millis(time.as_millis() as u64)))
+    }
 }
 
 /// Returns the reply for a response that its head alone shows can't be
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod framing;
 mod front;
+mod notices;
 mod pieces;
 mod record;
 #[allow(clippy::module_inception)]
@@ -32,5 +33,5 @@
         StoredResult,
     },
     relay::{Relay, RelayContext},
-    settings::{RelaySettings, RetryLimits},
+    settings::{LEAVE_GRACE_DEFAULT, RelaySettings, RetryLimits},
 };
--- /dev/null
+++ b/crates/daemon/src/relay/notices.rs
@@ -0,0 +1,114 @@
+//! Reads from answers that an endpoint is leaving or wants no requests for a while.
+
+use {
+    super::{HeaderNames, relay::time_since},
+    coord::{
+        ids::EndpointName,
+        relay::{EndpointNotices, parse_pause},
+        tables::{Endpoint, Tables},
+        time::{Millis, Time},
+    },
+    hyper::{
+        HeaderMap, Response, StatusCode,
+        header::{HeaderName, RETRY_AFTER},
+    },
+    metrics::counter,
+    std::{
+        cell::{Cell, Ref, RefCell},
+        time::Instant,
+    },
+};
+
+/// The value of the header of an endpoint that is leaving.
+const LEAVING: &str = "1";
+
+/// The notices of the endpoints, as this instance has read them.
+pub struct Notices {
+    table: RefCell<EndpointNotices>,
+    leaving: HeaderName,
+    /// Up to when ended pauses are logged.
+    swept: Cell<Time>,
+    start: Instant,
+}
+
+impl Notices {
+    /// Creates an empty set.
+    pub fn new(names: &HeaderNames, leave_grace: Millis, start: Instant) -> Self {
+        Self {
+            table: RefCell::new(EndpointNotices::new(leave_grace)),
+            leaving: names.leaving.clone(),
+            swept: Cell::new(Time(0)),
+            start,
+        }
+    }
+
+    /// Borrows the notices.
+    pub fn table(&self) -> Ref<'_, EndpointNotices> {
+        self.table.borrow()
+    }
+
+    /// Whether a request may be sent to an endpoint now.
+    pub fn may_send(&self, name: &EndpointName) -> bool {
+        self.table().may_send(time_since(self.start), name)
+    }
+
+    /// Drops the notices of incarnations that are no longer in the tables.
+    pub fn reload(&self, tables: &Tables) {
+        self.table.borrow_mut().reload(tables.endpoints.values());
+    }
+
+    /// Reads the head of an endpoint's answer. Returns whether the endpoint has just
+    /// said that it is leaving.
+    pub fn read<B>(&self, endpoint: &Endpoint, response: &Response<B>) -> bool {
+        let headers = response.headers();
+        let text = |name| headers.get(name).and_then(|it| it.to_str().ok());
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(pause) = text(&RETRY_AFTER).and_then(parse_pause)
+        {
+            self.note_pause(endpoint, pause);
+        }
+        is_leaving(headers, &self.leaving) && self.note_leaving(endpoint)
+    }
+
+    /// Logs the pauses that have ended since the last call.
+    pub fn log_ended(&self) {
+        let now = time_since(self.start);
+        let last = self.swept.replace(now);
+        for name in self.table().ended_pauses(last, now) {
+            log::info!(endpoint = name.as_str(); "[relay] pause of an endpoint ended");
+        }
+    }
+
+    fn note_pause(&self, endpoint: &Endpoint, pause: Millis) {
+        let now = time_since(self.start);
+        let until = self.table.borrow_mut().note_pause(now, endpoint, pause);
+        log::info!(
+            endpoint = endpoint.name.as_str(), generation:% = endpoint.generation,
+            pause_ms = pause.0, left_ms = until.map_or(0, |it| it.since(now).0),
+            stale = until.is_none();
+            "[relay] an endpoint asks for a pause"
+        );
+        count(endpoint, "pause");
+    }
+
+    fn note_leaving(&self, endpoint: &Endpoint) -> bool {
+        let new = self.table.borrow_mut().note_leaving(time_since(self.start), endpoint);
+        if new {
+            log::info!(
+                endpoint = endpoint.name.as_str(), generation:% = endpoint.generation;
+                "[relay] an endpoint says that it is leaving"
+            );
+            count(endpoint, "leaving");
+        }
+        new
+    }
+}
+
+fn is_leaving(headers: &HeaderMap, name: &HeaderName) -> bool {
+    headers.get(name).is_some_and(|it| it.as_bytes() == LEAVING.as_bytes())
+}
+
+fn count(endpoint: &Endpoint, notice: &'static str) {
+    let pool = endpoint.pool.to_string();
+    counter!("mangobend_endpoint_notices_total", "pool" => pool, "notice" => notice).increment(1);
+}
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
-        batcher::Batchers, batcher_clients::BatcherClients, record::SeriesLabels,
+        batcher::Batchers, batcher_clients::BatcherClients, notices::Notices, record::SeriesLabels,
         request::RelayRequest, upstream::Upstream, view::View,
     },
     coord::{
@@ -57,6 +57,7 @@
     pub batchers: Rc<Batchers>,
     pub batcher_clients: BatcherClients,
     pub series: Rc<SeriesLabels>,
+    pub notices: Rc<Notices>,
     pub peer: SocketAddr,
     placer: Rc<RefCell<Placer>>,
     view: RefCell<Rc<View>>,
@@ -86,9 +87,17 @@
     pub fn start(context: RelayContext) -> Rc<Self> {
         let RelayContext { settings, mut tables, batcher_events, drain, peer, secret } = context;
         let start = Instant::now();
-        let upstream = Rc::new(Upstream::default());
+        let names = &settings.dialect.headers;
+        let notices = Rc::new(Notices::new(names, settings.leave_grace, start));
+        let upstream = Rc::new(Upstream::new(notices.clone()));
         let relay = Rc::new(Self {
-            batchers: Batchers::new(settings.dialect.clone(), upstream.clone(), start),
+            batchers: Batchers::new(
+                settings.dialect.clone(),
+                upstream.clone(),
+                notices.clone(),
+                start,
+            ),
+            notices,
             dialect: settings.dialect,
             drain,
             upstream,
@@ -104,6 +113,7 @@
             retry_limits: settings.retry_limits,
             start,
         });
+        relay.notices.reload(&relay.view().tables);
         relay.batchers.reload(&relay.view());
         tokio::task::spawn_local(relay.clone().watch_tables(tables));
         tokio::task::spawn_local(relay.batchers.clone().serve(batcher_events));
@@ -212,6 +222,7 @@
         let known = |it: &EndpointName| view.tables.endpoints.contains_key(it);
         self.placer().retain(known);
         self.upstream.retain(known);
+        self.notices.reload(&view.tables);
         self.batchers.reload(&view);
     }
 
@@ -221,6 +232,7 @@
         loop {
             ticks.tick().await;
             self.upstream.expire(Instant::now());
+            self.notices.log_ended();
         }
     }
 }
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -34,6 +34,8 @@
     Stopping,
     /// No endpoint is available for the request, or one of its stages failed.
     NoEndpoint,
+    /// Every endpoint asked for a pause that ends too late.
+    Paused,
     /// The body did not arrive, or the stages can't finish, before the deadline.
     TooLate,
     /// Endpoints refused the request or it could not be sent; it has not run.
@@ -53,9 +55,12 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoCatalog | Self::Stopping | Self::NoEndpoint | Self::TooLate | Self::NotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoCatalog
+            | Self::Stopping
+            | Self::NoEndpoint
+            | Self::Paused
+            | Self::TooLate
+            | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -71,6 +76,7 @@
             Self::TooLarge => "too_large",
             Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
+            Self::Paused => "paused",
             Self::TooLate => "too_late",
             Self::NotRun => "unrun",
             Self::Unknown => "unknown",
--- a/crates/daemon/src/relay/settings.rs
+++ b/crates/daemon/src/relay/settings.rs
@@ -50,8 +50,15 @@
     pub readiness: Option<SocketAddr>,
     pub dialect: Arc<Dialect>,
     pub retry_limits: RetryLimits,
+    /// How long an endpoint that says that it is leaving may get requests that no
+    /// other endpoint can serve.
+    pub leave_grace: Millis,
 }
 
+/// Half of the time for which endpoints commonly serve after they say that they are
+/// leaving.
+pub const LEAVE_GRACE_DEFAULT: Millis = Millis(1000);
+
 impl RelaySettings {
     /// Creates settings with the default dialect and limits.
     pub fn new(listen: SocketAddr) -> Self {
@@ -60,6 +67,7 @@
             readiness: None,
             dialect: Arc::new(Dialect::default()),
             retry_limits: RetryLimits::default(),
+            leave_grace: LEAVE_GRACE_DEFAULT,
         }
     }
 }
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -9,7 +9,10 @@
     coord::{
         catalog::BatchTerms,
         ids::{Bytes, EndpointName},
-        relay::{BatchCall, BatchQueue, CallOutcome, GroupId, Piece, PieceId},
+        relay::{
+            Availability, BatchCall, BatchQueue, CallOutcome, EndpointNotices, GroupId, Piece,
+            PieceId,
+        },
         tables::Endpoint,
         time::{Millis, Time},
     },
@@ -132,6 +135,21 @@
         }
     }
 
+    /// Withholds calls from endpoints that are leaving or asked for a pause.
+    pub fn apply_notices(&mut self, now: Time, notices: &EndpointNotices) {
+        let endpoints: Vec<&Endpoint> = self.endpoints.values().collect();
+        let usable = notices.usable(now, &endpoints);
+        for it in endpoints {
+            let until = match notices.availability(now, &it.name) {
+                _ if usable.iter().any(|usable| usable.name == it.name) => now,
+                Availability::Open => now,
+                Availability::Paused { until } => until,
+                Availability::Leaving => BatchQueue::NEVER,
+            };
+            self.queue.withhold(&it.name, until);
+        }
+    }
+
     /// Stops calling endpoints and fails all queued pieces.
     pub fn drain(&mut self) {
         self.endpoints.clear();
--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client connections to endpoints, with reuse of idle ones.
 
 use {
+    super::notices::Notices,
     coord::{ids::EndpointName, tables::Endpoint, time::Millis},
     http_body_util::Full,
     hyper::{
@@ -52,12 +53,15 @@
     /// the request.
     #[snafu(display("the connection failed: {source}"))]
     Broken { source: hyper::Error },
+    /// The endpoint is leaving or asked for a pause, so nothing was sent.
+    #[snafu(display("the endpoint takes no requests now"))]
+    Withheld,
 }
 
 impl SendError {
     /// Whether the endpoint certainly has not received the request.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect { .. } | Self::Closed)
+        matches!(self, Self::Connect { .. } | Self::Closed | Self::Withheld)
     }
 }
 
@@ -87,12 +91,18 @@
 }
 
 /// Pool of this instance's connections to all endpoints.
-#[derive(Default)]
 pub struct Upstream {
     idle: RefCell<HashMap<EndpointName, Vec<IdleConnection>>>,
+    notices: Rc<Notices>,
 }
 
 impl Upstream {
+    /// Creates the pool without connections. It reads the endpoints' notices from
+    /// their answers and sends nothing against them.
+    pub fn new(notices: Rc<Notices>) -> Self {
+        Self { idle: RefCell::default(), notices }
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
@@ -110,6 +120,9 @@
                 result => return result.map_err(|(err, _)| err),
             }
         }
+        if !self.notices.may_send(&endpoint.name) {
+            return Err(SendError::Withheld);
+        }
         let (sender, task) = connect(endpoint.addr).await?;
         let result = self.attempt(endpoint, sender, task, request).await;
         result.map_err(|(err, _)| err)
@@ -138,8 +151,14 @@
         if sender.ready().await.is_err() {
             return Err((SendError::Closed, Some(request)));
         }
+        if !self.notices.may_send(&endpoint.name) {
+            return Err((SendError::Withheld, None));
+        }
         match sender.try_send_request(request).await {
             Ok(response) => {
+                if self.notices.read(endpoint, &response) {
+                    self.idle.borrow_mut().remove(&endpoint.name);
+                }
                 let idle_timeout = idle_timeout(response.headers());
                 let upstream = self.clone();
                 let endpoint = endpoint.name.clone();
@@ -170,7 +189,8 @@
     /// endpoint closes it.
     pub fn release(self) {
         let Self { sender, task, endpoint, idle_timeout, upstream } = self;
-        let Some(idle_timeout) = idle_timeout.filter(|_| !sender.is_closed()) else {
+        let leaving = upstream.notices.table().is_leaving(&endpoint);
+        let Some(idle_timeout) = idle_timeout.filter(|_| !sender.is_closed() && !leaving) else {
             return;
         };
         let expires = Instant::now() + Duration::from_millis(idle_timeout.0);
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -1,5 +1,6 @@
 //! Test fixture: a relay in this process, scripted endpoints behind it, and
 //! callers that read raw bytes.
+#![allow(dead_code, unused_imports)]
 
 use {
     coord::{
