Bound what endpoints that send without end can fill

What would be seen: an instance killed for its memory. 200 requests to an endpoint whose plain body never ends took the daemon to 870 MB (each answer may be 4 MB, and nothing bounded them together); streams held 119 MB in read-ahead buffers. The answer to the freeing of results had neither a bound nor a time.

Change: all bodies that are read whole share 32 MB beyond 64 KB each; a head, and what is read ahead of a body, is at most 64 KB; freeing results ends after 64 KB or 2 s. The request fails as with other improper answers, the endpoint is avoided as for other faults, and the line names it and the bound.

--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -4,10 +4,11 @@
     super::{
         BatcherEvent, Dialect, Handle, PieceError, PieceItem, PieceResult, StageReply,
         StageRequest, StoredResult,
+        buffers::Buffers,
         notices::Notices,
         relay::time_since,
         shard_batcher::{CallError, QueuedPiece, ShardBatcher},
-        upstream::Upstream,
+        upstream::{SendError, Upstream},
         view::View,
     },
     coord::{
@@ -17,7 +18,7 @@
         tables::Endpoint,
         time::Millis,
     },
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::{
         Method, Request, StatusCode,
         header::{CONTENT_TYPE, HOST},
@@ -45,12 +46,17 @@
 const FREE_INTERVAL: Duration = Duration::from_millis(20);
 /// Size limit of the response to a call.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
+/// Size limit of the response to the freeing of results.
+const MAX_FREE_BYTES: usize = 64 << 10;
+/// Timeout of the freeing of results; shorter than endpoints keep them.
+const FREE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The batchers of this instance, one per shard.
 pub struct Batchers {
     dialect: Arc<Dialect>,
     upstream: Rc<Upstream>,
     notices: Rc<Notices>,
+    buffers: Buffers,
     shards: RefCell<IndexMap<Shard, ShardBatcher>>,
     weak_self: Weak<Self>,
     next_piece: Cell<u64>,
@@ -77,12 +83,14 @@
         dialect: Arc<Dialect>,
         upstream: Rc<Upstream>,
         notices: Rc<Notices>,
+        buffers: Buffers,
         start: Instant,
     ) -> Rc<Self> {
         Rc::new_cyclic(|weak_self| Self {
             dialect,
             upstream,
             notices,
+            buffers,
             shards: RefCell::default(),
             weak_self: weak_self.clone(),
             next_piece: Cell::new(0),
@@ -283,8 +291,14 @@
         let (response, lease) = sent.map_err(|source| CallError::Lost { source })?;
         let status = response.status();
         let not_run = response.headers().contains_key(&self.dialect.headers.not_run);
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|_| CallError::Improper)?.to_bytes();
+        let body = self.buffers.read(response.into_body(), MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|err| {
+            log::info!(
+                endpoint = endpoint.name.as_str(), error:% = err;
+                "[relay] answer of pieces not read"
+            );
+            CallError::Improper
+        })?;
         lease.release();
         if status != StatusCode::OK {
             let full = not_run || status == StatusCode::MISDIRECTED_REQUEST;
@@ -323,15 +337,11 @@
         };
         let codec = &self.dialect.batches;
         let request = self.request(&endpoint, codec.free_path, (codec.encode_free)(&handles));
-        let problem = match self.upstream.send(&endpoint, request).await {
-            Ok((response, lease)) => {
-                let status = response.status();
-                if response.into_body().collect().await.is_ok() {
-                    lease.release();
-                }
-                (status != StatusCode::OK).then(|| status.to_string())
-            }
-            Err(err) => Some(err.to_string()),
+        let problem = match timeout(FREE_TIMEOUT, self.free_at(&endpoint, request)).await {
+            Ok(Ok(StatusCode::OK)) => None,
+            Ok(Ok(status)) => Some(status.to_string()),
+            Ok(Err(err)) => Some(err.to_string()),
+            Err(_) => Some("no answer in time".to_owned()),
         };
         match problem {
             None => {
@@ -346,6 +356,25 @@
         }
     }
 
+    /// Sends a request to free results and returns the status. What its body says is
+    /// not used, but has to end for the connection to be reused.
+    async fn free_at(
+        &self,
+        endpoint: &Endpoint,
+        request: Request<Full<hyper::body::Bytes>>,
+    ) -> Result<StatusCode, SendError> {
+        let (response, lease) = self.upstream.send(endpoint, request).await?;
+        let status = response.status();
+        match self.buffers.read(response.into_body(), MAX_FREE_BYTES).await {
+            Ok(_) => lease.release(),
+            Err(err) => log::info!(
+                endpoint = endpoint.name.as_str(), error:% = err;
+                "[relay] answer of freed results not read"
+            ),
+        }
+        Ok(status)
+    }
+
     fn request(
         &self,
         endpoint: &Endpoint,
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -19,7 +19,6 @@
         tables::Endpoint,
         time::Millis,
     },
-    http_body_util::{BodyExt, Limited},
     hyper::{
         Response, StatusCode,
         body::{Bytes, Incoming},
@@ -114,7 +113,8 @@
                 Reply::Withheld => (AttemptOutcome::NotSent, None),
                 Reply::Improper(why) => {
                     log::info!(
-                        request = self.request.id.as_str(), why = why;
+                        request = self.request.id.as_str(), endpoint = endpoint.name.as_str(),
+                        why = why;
                         "[relay] improper answer"
                     );
                     (AttemptOutcome::Unknown, None)
@@ -126,7 +126,8 @@
                         AttemptOutcome::Unknown
                     };
                     log::info!(
-                        request = self.request.id.as_str(), error:% = err;
+                        request = self.request.id.as_str(), endpoint = endpoint.name.as_str(),
+                        error:% = err;
                         "[relay] attempt lost"
                     );
                     (outcome, None)
@@ -233,11 +234,14 @@
             return Reply::Stream(response, check, lease);
         }
         let (head, body) = response.into_parts();
-        match timeout_at(deadline, Limited::new(body, MAX_BUFFERED_BYTES).collect()).await {
+        let read = self.relay.buffers.read(body, MAX_BUFFERED_BYTES);
+        match timeout_at(deadline, read).await {
             Err(_) => Reply::TimedOut,
-            Ok(Err(_)) => Reply::Improper("the body ended early or is too large"),
+            Ok(Err(err)) => {
+                self.record.log_error(&err);
+                Reply::Improper("the body can't be read whole")
+            }
             Ok(Ok(body)) => {
-                let body = body.to_bytes();
                 check.push(&body);
                 if check.check_end().is_err() {
                     return Reply::Improper("the events of the body ended early");
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod batcher;
 mod batcher_clients;
 mod body_check;
+mod buffers;
 mod dialect;
 mod drain_state;
 mod forward;
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
-        batcher::Batchers, batcher_clients::BatcherClients, notices::Notices, record::SeriesLabels,
-        request::RelayRequest, upstream::Upstream, view::View,
+        batcher::Batchers, batcher_clients::BatcherClients, buffers::Buffers, notices::Notices,
+        record::SeriesLabels, request::RelayRequest, upstream::Upstream, view::View,
     },
     coord::{
         ids::{EndpointName, PoolName, StageName},
@@ -58,6 +58,7 @@
     pub batcher_clients: BatcherClients,
     pub series: Rc<SeriesLabels>,
     pub notices: Rc<Notices>,
+    pub buffers: Buffers,
     pub peer: SocketAddr,
     placer: Rc<RefCell<Placer>>,
     view: RefCell<Rc<View>>,
@@ -89,15 +90,18 @@
         let start = Instant::now();
         let names = &settings.dialect.headers;
         let notices = Rc::new(Notices::new(names, settings.leave_grace, start));
+        let buffers = Buffers::default();
         let upstream = Rc::new(Upstream::new(notices.clone()));
         let relay = Rc::new(Self {
             batchers: Batchers::new(
                 settings.dialect.clone(),
                 upstream.clone(),
                 notices.clone(),
+                buffers.clone(),
                 start,
             ),
             notices,
+            buffers,
             dialect: settings.dialect,
             drain,
             upstream,
--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -37,6 +37,10 @@
 /// Subtracted from the endpoint's idle timeout, so that a request isn't sent
 /// while the endpoint closes the connection.
 const IDLE_MARGIN: Millis = Millis(700);
+/// Maximum size of a response head, and of what is read ahead of a body.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of headers in a response.
+const MAX_HEADERS: usize = 100;
 /// Maximum number of idle connections kept per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
@@ -211,7 +215,9 @@
         Err(_) => return Err(failed(io::ErrorKind::TimedOut.into())),
     };
     configure_socket(&stream).map_err(failed)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut client = http1::Builder::new();
+    client.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
+    let handshake = client.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|err| failed(io::Error::other(err)))?;
     let handle = tokio::task::spawn_local(async move {
         // The sender of the request gets the error too.
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone)]
 pub enum Step {
     Send(Vec<u8>),
+    /// Sends the same bytes again and again until the peer closes the connection.
+    SendForever(Vec<u8>),
     Wait(Duration),
     /// Closes the connection.
     Close,
@@ -120,6 +122,10 @@
     fn run_step(&self, step: Step, stream: &mut TcpStream) -> bool {
         match step {
             Step::Send(bytes) => stream.write_all(&bytes).is_ok(),
+            Step::SendForever(bytes) => {
+                while stream.write_all(&bytes).is_ok() {}
+                false
+            }
             Step::Wait(time) => self.wait(stream, time),
             Step::SkipBody => true,
             Step::Close => {
