Warn once of a stop's time limit, and count relayed requests

Cause: the check runs in each tick until the process exits, and counted the router's requests alone. The test a_stop_at_its_time_limit_warns_once_… failed with 21 lines and passes now.

--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -48,15 +48,17 @@
             return;
         }
         let timed_out = elapsed >= self.settings.stop_bound;
-        let relaying = self.drain.active() > 0;
-        let busy = !self.router.is_idle() || self.has_settlements() || relaying;
+        let first = stop.idle_at.is_none();
+        let relayed = self.drain.active();
+        let busy = !self.router.is_idle() || self.has_settlements() || relayed > 0;
         if busy && !timed_out {
             return;
         }
-        if busy {
+        if busy && first {
             log::warn!(
-                "[stop] The time limit has passed with {} requests unfinished.",
-                self.router.len()
+                "[stop] The time limit has passed with {} requests unfinished, {relayed} of them \
+                 relayed.",
+                self.router.len() + relayed
             );
         }
         self.finish_stop(now);
--- a/crates/harness/tests/stop.rs
+++ b/crates/harness/tests/stop.rs
@@ -3,10 +3,15 @@
 mod fixture;
 
 use {
-    coord::wire::CallerRequest,
+    coord::{catalog::RetryPolicy, wire::CallerRequest},
     fixture::{System, new_request, start_system},
-    harness::{Caller, CallerResult, LONG_TIMEOUT, wait_until},
+    harness::{
+        Caller, CallerResult, ClusterSpec, LONG_TIMEOUT, connect, relay_catalog, relay_endpoint,
+        relay_request, relay_route, wait_until,
+    },
+    standin::{ScriptedEndpoint, Step, signed_response},
     std::{
+        io::{Read, Write},
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, Ordering},
@@ -170,3 +175,37 @@
         incomplete[0]
     );
 }
+
+#[test]
+fn a_stop_at_its_time_limit_warns_once_and_counts_relayed_requests() {
+    let args = ["--relay-listen", "127.0.0.1:0", "--stop-bound", "1000"];
+    let args = args.map(ToOwned::to_owned).to_vec();
+    let mut cluster = ClusterSpec { args, ..ClusterSpec::new(1, 0) }.start();
+    let catalog = relay_catalog(relay_route(RetryPolicy::Stream));
+    let posted = cluster.operator().post::<serde_json::Value>("/v1/catalog", &catalog);
+    posted.expect("the catalog is accepted");
+    let backend = ScriptedEndpoint::start(Box::new(|seen, _| {
+        let part = signed_response(seen, "200 OK", "content-length: 9\r\n", "part");
+        vec![Step::Send(part), Step::Wait(Duration::from_secs(20))]
+    }));
+    let relay = cluster.daemon(0).relay_addr();
+    let mut stream = connect(relay);
+    wait_until("a stream has started", LONG_TIMEOUT, || {
+        cluster.daemon(0).announce(&relay_endpoint("e", "app", backend.addr));
+        stream = connect(relay);
+        let sent = stream.write_all(relay_request("id", "", "").as_bytes());
+        let mut start = [0; 12];
+        sent.and_then(|()| stream.read_exact(&mut start)).is_ok() && start.ends_with(b"200")
+    });
+
+    cluster.daemon(0).proc.signal(SIGTERM);
+    let daemon = cluster.instances[0].daemon.as_mut().expect("the instance was started");
+    let status = daemon.proc.wait(LONG_TIMEOUT).expect("the daemon exits");
+
+    let path = cluster.instances[0].spec.log.as_ref().expect("the daemon has a log");
+    let log = std::fs::read_to_string(path).expect("the log can be read");
+    let warnings: Vec<&str> = log.lines().filter(|it| it.contains("time limit")).collect();
+    assert!(status.success(), "{status:?}");
+    assert_eq!(warnings.len(), 1, "{warnings:?}");
+    assert!(warnings[0].contains("with 1 request"), "{warnings:?}");
+}
