--- a/crates/coord/src/relay/endpoint_notices.rs
+++ b/crates/coord/src/relay/endpoint_notices.rs
@@ -26,7 +26,7 @@
 }
 
 #[derive(Debug, Clone, Default)]
-struct Notices {
+struct NoticeRow {
     generation: Generation,
     leaving_since: Option<Time>,
     paused_until: Time,
@@ -35,7 +35,7 @@
 /// The notices of the endpoints in the tables, one row per incarnation.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointNotices {
-    rows: IndexMap<EndpointName, Notices>,
+    rows: IndexMap<EndpointName, NoticeRow>,
     /// How long an endpoint that is leaving may get what no other can serve.
     leave_grace: Millis,
 }
@@ -52,7 +52,8 @@
         let mut old = std::mem::take(&mut self.rows);
         for it in endpoints {
             let kept = old.swap_remove(&it.name).filter(|row| row.generation == it.generation);
-            let row = kept.unwrap_or(Notices { generation: it.generation, ..Notices::default() });
+            let row =
+                kept.unwrap_or(NoticeRow { generation: it.generation, ..NoticeRow::default() });
             self.rows.insert(it.name.clone(), row);
         }
     }
@@ -123,11 +124,11 @@
 
     /// Returns the endpoints whose pause has ended since `last`.
     pub fn ended_pauses(&self, last: Time, now: Time) -> impl Iterator<Item = &EndpointName> {
-        let ended = move |row: &Notices| row.paused_until > last && row.paused_until <= now;
+        let ended = move |row: &NoticeRow| row.paused_until > last && row.paused_until <= now;
         self.rows.iter().filter(move |(_, row)| ended(row)).map(|(name, _)| name)
     }
 
-    fn row(&mut self, endpoint: &Endpoint) -> Option<&mut Notices> {
+    fn row(&mut self, endpoint: &Endpoint) -> Option<&mut NoticeRow> {
         self.rows.get_mut(&endpoint.name).filter(|it| it.generation == endpoint.generation)
     }
 }
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -6,9 +6,9 @@
         reply::{CallerReply, caller_error, into_answer, status_code},
     },
     crate::{
+        chunk_support::ChunkSupport,
         event::{Event, Inbox},
         flushed_body::FlushedBody,
-        reset::ChunkSupport,
     },
     coord::{
         ids::RequestId,
--- a/crates/daemon/src/reset.rs
+++ b/crates/daemon/src/chunk_support.rs
@@ -1,4 +1,4 @@
-//! Answers that can only be marked as cut by a reset of the connection.
+//! Whether a caller can tell a cut answer by its missing last chunk.
 
 use {
     hyper::{Request, Version},
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod accept;
 pub mod callers;
+mod chunk_support;
 mod core;
 pub mod disk;
 mod endpoints;
@@ -11,7 +12,6 @@
 pub mod operators;
 pub mod peers;
 pub mod relay;
-mod reset;
 pub mod run;
 pub mod settings;
 pub mod telemetry;
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -11,7 +11,7 @@
         stages::{self, StageResults},
         upstream::configure_socket,
     },
-    crate::{accept::accept, reset::ChunkSupport},
+    crate::{accept::accept, chunk_support::ChunkSupport},
     coord::time::Millis,
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -137,16 +137,16 @@
 
     /// Withholds calls from endpoints that are leaving or asked for a pause.
     pub fn apply_notices(&mut self, now: Time, notices: &EndpointNotices) {
-        let endpoints: Vec<&Endpoint> = self.endpoints.values().collect();
-        let usable = notices.usable(now, &endpoints);
-        for it in endpoints {
-            let until = match notices.availability(now, &it.name) {
-                _ if usable.iter().any(|usable| usable.name == it.name) => now,
+        let is_open = |name| notices.availability(now, name) == Availability::Open;
+        let any_open = self.endpoints.keys().any(is_open);
+        for name in self.endpoints.keys() {
+            let until = match notices.availability(now, name) {
                 Availability::Open => now,
                 Availability::Paused { until } => until,
+                Availability::Leaving if !any_open && notices.may_send(now, name) => now,
                 Availability::Leaving => BatchQueue::NEVER,
             };
-            self.queue.withhold(&it.name, until);
+            self.queue.withhold(name, until);
         }
     }
 
