Pass the end of a pause on in refusals by all endpoints

What a caller would see: 503 with Retry-After 0.30 from a pool whose only endpoint has just asked for two seconds, so that it came back into the pause. Cause: only requests that came later looked at the pauses. a_refusal_by_all_endpoints_passes_their_pause_on failed with 0.3 and passes now.

--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -179,15 +179,19 @@
         chosen
     }
 
-    /// Returns when to try again if an endpoint that wasn't tried has asked for a pause.
-    /// The time is spread, so that the first endpoint to return doesn't get all waiting
-    /// requests at once.
+    /// Returns when to try again if none of the endpoints that weren't tried takes
+    /// requests and one of them has asked for a pause. The time is spread, so that the
+    /// first endpoint to return doesn't get all waiting requests at once.
     fn pause_left(&self, tried: &[EndpointName]) -> Option<Duration> {
         let view = self.relay.view();
         let endpoints = view.endpoints(&self.request.pool).iter();
         let untried: Vec<&Endpoint> = endpoints.filter(|it| !tried.contains(&it.name)).collect();
         let now = self.relay.now();
-        let at = self.relay.notices.table().earliest_return(now, &untried)?;
+        let notices = self.relay.notices.table();
+        if !notices.usable(now, &untried).is_empty() {
+            return None;
+        }
+        let at = notices.earliest_return(now, &untried)?;
         let spread = rand::random_range(0..RETURN_SPREAD.0);
         Some(Duration::from_millis(at.since(now).0 + spread))
     }
@@ -299,15 +303,20 @@
     fn deny(mut self, denial: Denial) -> RelayResponse {
         self.record.finish(denial.name());
         let not_run = denial.status() == StatusCode::SERVICE_UNAVAILABLE;
-        deny(denial, not_run.then_some(RETRY_AFTER))
+        let after = not_run.then(|| self.pause_left(&[]).map_or(RETRY_AFTER, to_millis));
+        deny(denial, after)
     }
 
     fn deny_until(mut self, time: Duration) -> RelayResponse {
         self.record.finish(Denial::Paused.name());
-        deny(Denial::Paused, Some(Millis(time.as_millis() as u64)))
+        deny(Denial::Paused, Some(to_millis(time)))
     }
 }
 
+fn to_millis(time: Duration) -> Millis {
+    Millis(time.as_millis() as u64)
+}
+
 /// Returns the reply for a response that its head alone shows can't be
 /// forwarded.
 fn check_head(
--- a/crates/daemon/tests/notices.rs
+++ b/crates/daemon/tests/notices.rs
@@ -179,6 +179,18 @@
     assert_eq!(busy.received().len() + other.received().len(), 2);
 }
 
+#[test]
+fn a_refusal_by_all_endpoints_passes_their_pause_on() {
+    let busy = scripted(|_, _| vec![Step::Send(pause("2"))]);
+    let relay = relay_of(route(RetryPolicy::Once), &[("e", &busy)]);
+
+    let got = call(&relay, &request("id", "", ""));
+
+    let after: f64 = got.header("retry-after").and_then(|it| it.parse().ok()).expect("a number");
+    assert_eq!(got.status, 503);
+    assert!((1.9..2.4).contains(&after), "{after}");
+}
+
 /// Starts a relay with a stage at one endpoint.
 fn staged_relay(pieces: &ScriptedEndpoint, backend: &ScriptedEndpoint) -> Fixture {
     let mut staged = route(RetryPolicy::Once);
