Obey the notices of the project's own endpoints too

What an endpoint of POST /run would see: calls after its answer had said that it leaves, until its announcement had come through the tables, and after 503 with Retry-After once 500 ms had passed.

The head of each answer is read on arrival and reaches the router as an event of its attempt; the picker keeps the same type of rows as the relay, by incarnation. Only what no other endpoint of the pool can serve still goes to one that leaves, for a second.

Tests: two of the router; notices_in_answers_of_runs_are_obeyed with a real daemon, which fails if heads aren't read.

--- a/crates/coord/src/relay/endpoint_notices.rs
+++ b/crates/coord/src/relay/endpoint_notices.rs
@@ -25,6 +25,15 @@
     Leaving,
 }
 
+/// What an endpoint says of itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointNotice {
+    /// It is leaving.
+    Leaving,
+    /// It wants no requests for this time.
+    Pause(Millis),
+}
+
 #[derive(Debug, Clone, Default)]
 struct NoticeRow {
     generation: Generation,
@@ -60,8 +69,8 @@
 
     /// Records that an endpoint is leaving. Returns false if that is known, or if the
     /// answer is of an earlier incarnation.
-    pub fn note_leaving(&mut self, now: Time, endpoint: &Endpoint) -> bool {
-        let Some(row) = self.row(endpoint).filter(|it| it.leaving_since.is_none()) else {
+    pub fn note_leaving(&mut self, now: Time, name: &EndpointName, generation: Generation) -> bool {
+        let Some(row) = self.row(name, generation).filter(|it| it.leaving_since.is_none()) else {
             return false;
         };
         row.leaving_since = Some(now);
@@ -71,8 +80,14 @@
     /// Records that an endpoint wants no requests for `pause`. Requests that were
     /// under way before an earlier pause can only extend it. Returns the end of the
     /// pause, or nothing if the answer is of an earlier incarnation.
-    pub fn note_pause(&mut self, now: Time, endpoint: &Endpoint, pause: Millis) -> Option<Time> {
-        let row = self.row(endpoint)?;
+    pub fn note_pause(
+        &mut self,
+        now: Time,
+        name: &EndpointName,
+        generation: Generation,
+        pause: Millis,
+    ) -> Option<Time> {
+        let row = self.row(name, generation)?;
         let until = now + Millis(pause.0.min(MAX_PAUSE.0));
         row.paused_until = until.max(row.paused_until);
         Some(row.paused_until)
@@ -128,8 +143,8 @@
         self.rows.iter().filter(move |(_, row)| ended(row)).map(|(name, _)| name)
     }
 
-    fn row(&mut self, endpoint: &Endpoint) -> Option<&mut NoticeRow> {
-        self.rows.get_mut(&endpoint.name).filter(|it| it.generation == endpoint.generation)
+    fn row(&mut self, name: &EndpointName, generation: Generation) -> Option<&mut NoticeRow> {
+        self.rows.get_mut(name).filter(|it| it.generation == generation)
     }
 }
 
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -16,7 +16,7 @@
     attempts::{AttemptOutcome, Attempts, NextAction},
     batch_queue::{BatchCall, BatchQueue, CallOutcome, GroupId, Piece, PieceId},
     candidates::{batcher_candidates, entry_addrs, rank},
-    endpoint_notices::{Availability, EndpointNotices, MAX_PAUSE, parse_pause},
+    endpoint_notices::{Availability, EndpointNotice, EndpointNotices, MAX_PAUSE, parse_pause},
     event_scanner::EventScanner,
     placer::{Placer, Preferences},
     preferred_domain::preferred_domain,
--- a/crates/coord/src/router/action.rs
+++ b/crates/coord/src/router/action.rs
@@ -9,6 +9,7 @@
             AttemptId, ClaimKey, Class, EndpointName, Fence, PoolName, RequestId, RouteName,
             StageName, TeamName, Tokens,
         },
+        relay::EndpointNotice,
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -98,6 +99,8 @@
     Refused {
         cold: bool,
     },
+    /// What the endpoint says of itself in the head of the answer; more events follow.
+    Notice(EndpointNotice),
     /// The attempt failed. Unless `sent`, the endpoint cannot have begun it.
     Failed {
         sent: bool,
--- a/crates/coord/src/router/attempts.rs
+++ b/crates/coord/src/router/attempts.rs
@@ -45,6 +45,9 @@
                     self.on_done(now, id, pieces, tokens);
                 }
             }
+            AttemptEvent::Notice(notice) => {
+                self.picker.note(now, &attempt.endpoint, attempt.generation, notice);
+            }
             AttemptEvent::Refused { cold } => self.on_refused(now, id, cold),
             AttemptEvent::Failed { sent, detail } => self.on_failed(now, id, sent, &detail),
         }
@@ -58,6 +61,9 @@
             self.stats.late += 1;
             return;
         }
+        if matches!(event, AttemptEvent::Notice(_)) {
+            return;
+        }
         if let Some(endpoint) = self.cancelling.shift_remove(&id) {
             self.picker.release(&endpoint);
             self.dispatch(now);
--- a/crates/coord/src/router/picker.rs
+++ b/crates/coord/src/router/picker.rs
@@ -4,6 +4,7 @@
     crate::{
         control::{Demand, EndpointReport, Grants, Holding},
         ids::{DomainName, EndpointName, Generation, PoolName, Slots},
+        relay::{EndpointNotice, EndpointNotices},
         tables::{Endpoint, EndpointState, PoolKind, Tables},
         time::{Millis, Time},
     },
@@ -30,6 +31,10 @@
 /// How long an endpoint gets no attempts after a failure or refusal.
 const BLOCK_TIME: Millis = Millis(500);
 
+/// How long an endpoint that says that it is leaving may get what no other endpoint
+/// can serve.
+const LEAVE_GRACE: Millis = Millis(1000);
+
 /// The load balancing policy. All but `Shares` ignore the granted shares and
 /// serve as baselines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -55,6 +60,7 @@
 pub struct Candidate {
     pub name: EndpointName,
     pub addr: SocketAddr,
+    pub generation: Generation,
 }
 
 #[derive(Debug)]
@@ -84,6 +90,7 @@
 /// The table of endpoints on this instance.
 pub struct Picker {
     rows: IndexMap<EndpointName, Row>,
+    notices: EndpointNotices,
     policy: Policy,
     last_turn: usize,
     rng: StdRng,
@@ -92,7 +99,9 @@
 impl Picker {
     /// Creates an empty table.
     pub fn new(policy: Policy, seed: u64) -> Self {
-        Self { rows: IndexMap::new(), policy, last_turn: 0, rng: StdRng::seed_from_u64(seed) }
+        let rng = StdRng::seed_from_u64(seed);
+        let notices = EndpointNotices::new(LEAVE_GRACE);
+        Self { rows: IndexMap::new(), notices, policy, last_turn: 0, rng }
     }
 
     /// Updates the rows from the replicated tables. Removed endpoints are kept
@@ -106,6 +115,25 @@
             let row = self.rows.entry(endpoint.name.clone()).or_insert_with(|| Row::new(endpoint));
             row.reload(endpoint, tables);
         }
+        self.notices.reload(tables.endpoints.values());
+    }
+
+    /// Records what an endpoint says of itself in an answer of this incarnation.
+    pub fn note(
+        &mut self,
+        now: Time,
+        name: &EndpointName,
+        generation: Generation,
+        notice: EndpointNotice,
+    ) {
+        match notice {
+            EndpointNotice::Leaving => {
+                self.notices.note_leaving(now, name, generation);
+            }
+            EndpointNotice::Pause(pause) => {
+                self.notices.note_pause(now, name, generation, pause);
+            }
+        }
     }
 
     /// Replaces all granted shares and updates the reported loads.
@@ -146,9 +174,11 @@
         let shares = self.policy == Policy::Shares;
         let failed_domains: Vec<DomainName> =
             avoid.iter().filter_map(|it| self.rows.get(it)).map(|it| it.domain.clone()).collect();
-        let mut free: Vec<usize> = (0..self.rows.len())
-            .filter(|i| self.rows[*i].pool == *pool && self.rows[*i].is_free(now, shares))
-            .collect();
+        let mut free: Vec<usize> =
+            (0..self.rows.len()).filter(|i| self.is_free(now, *i, pool, shares)).collect();
+        if free.iter().any(|i| !self.is_leaving(*i)) {
+            free.retain(|i| !self.is_leaving(*i));
+        }
         let penalty = |i: &usize| self.penalty(*i, avoid, &failed_domains);
         let least = free.iter().map(penalty).min()?;
         free.retain(|i| self.penalty(*i, avoid, &failed_domains) == least);
@@ -157,13 +187,13 @@
         row.in_flight += 1;
         row.sent_since += 1;
         row.last_prefix = prefix;
-        Some(Candidate { name: name.clone(), addr: row.addr })
+        Some(Candidate { name: name.clone(), addr: row.addr, generation: row.generation })
     }
 
     /// Whether a pool has a free endpoint.
     pub fn has_free(&self, now: Time, pool: &PoolName) -> bool {
         let shares = self.policy == Policy::Shares;
-        self.rows.values().any(|it| it.pool == *pool && it.is_free(now, shares))
+        (0..self.rows.len()).any(|i| self.is_free(now, i, pool, shares))
     }
 
     /// The number of slots of a pool that this instance may use.
@@ -254,6 +284,17 @@
         pools
     }
 
+    /// Whether an endpoint of a pool has a free slot and may be sent to.
+    fn is_free(&self, now: Time, at: usize, pool: &PoolName, shares: bool) -> bool {
+        let (name, row) = self.rows.get_index(at).expect("the row exists");
+        row.pool == *pool && row.is_free(now, shares) && self.notices.may_send(now, name)
+    }
+
+    fn is_leaving(&self, at: usize) -> bool {
+        let (name, _) = self.rows.get_index(at).expect("the row exists");
+        self.notices.is_leaving(name)
+    }
+
     fn penalty(&self, at: usize, avoid: &[EndpointName], failed_domains: &[DomainName]) -> u32 {
         let (name, row) = self.rows.get_index(at).expect("the row exists");
         match (avoid.contains(name), failed_domains.contains(&row.domain)) {
--- a/crates/coord/src/router/request.rs
+++ b/crates/coord/src/router/request.rs
@@ -4,8 +4,8 @@
     super::{Outcome, StageReport},
     crate::{
         ids::{
-            AttemptId, ClaimKey, Class, EndpointName, Fence, PoolName, RequestId, RouteName,
-            StageName, TeamName, Tokens,
+            AttemptId, ClaimKey, Class, EndpointName, Fence, Generation, PoolName, RequestId,
+            RouteName, StageName, TeamName, Tokens,
         },
         tables::Stage,
         time::{Millis, Time},
@@ -76,6 +76,7 @@
 pub(super) struct Attempt {
     pub request: RequestId,
     pub endpoint: EndpointName,
+    pub generation: Generation,
     pub started: Time,
     pub last_event: Time,
     pub pieces: u32,
--- a/crates/coord/src/router/router.rs
+++ b/crates/coord/src/router/router.rs
@@ -293,6 +293,7 @@
         let row = Attempt {
             request: id,
             endpoint: picked.name,
+            generation: picked.generation,
             started: now,
             last_event: now,
             pieces: 0,
--- a/crates/coord/tests/endpoint_notices.rs
+++ b/crates/coord/tests/endpoint_notices.rs
@@ -40,9 +40,9 @@
     let it = endpoint("e", 1);
     let mut notices = notices(std::slice::from_ref(&it));
 
-    let first = notices.note_pause(START, &it, Millis(2000));
-    let shorter = notices.note_pause(START + Millis(100), &it, Millis(500));
-    let longer = notices.note_pause(START + Millis(200), &it, Millis(3000));
+    let first = notices.note_pause(START, &it.name, it.generation, Millis(2000));
+    let shorter = notices.note_pause(START + Millis(100), &it.name, it.generation, Millis(500));
+    let longer = notices.note_pause(START + Millis(200), &it.name, it.generation, Millis(3000));
 
     assert_eq!((first, shorter), (Some(Time(3000)), Some(Time(3000))));
     assert_eq!(longer, Some(Time(4200)));
@@ -56,10 +56,13 @@
 fn a_notice_of_an_earlier_incarnation_changes_nothing() {
     let (old, new) = (endpoint("e", 1), endpoint("e", 2));
     let mut notices = notices(std::slice::from_ref(&old));
-    assert!(notices.note_leaving(START, &old));
+    assert!(notices.note_leaving(START, &old.name, old.generation));
 
     notices.reload(std::iter::once(&new));
-    let late = (notices.note_leaving(START, &old), notices.note_pause(START, &old, Millis(9000)));
+    let late = (
+        notices.note_leaving(START, &old.name, old.generation),
+        notices.note_pause(START, &old.name, old.generation, Millis(9000)),
+    );
 
     assert_eq!(late, (false, None));
     assert_eq!(notices.availability(START, &new.name), Availability::Open);
@@ -69,7 +72,7 @@
 fn a_leaving_endpoint_is_used_only_alone_and_within_the_grace() {
     let (leaving, other) = (endpoint("e", 1), endpoint("f", 1));
     let mut notices = notices(&[leaving.clone(), other.clone()]);
-    notices.note_leaving(START, &leaving);
+    notices.note_leaving(START, &leaving.name, leaving.generation);
 
     let both = notices.usable(START, &[&leaving, &other]);
     let alone = notices.usable(START, &[&leaving]);
@@ -84,9 +87,9 @@
 fn the_first_return_is_that_of_the_shortest_pause() {
     let all = [endpoint("e", 1), endpoint("f", 1), endpoint("g", 1)];
     let mut notices = notices(&all);
-    notices.note_pause(START, &all[0], Millis(3000));
-    notices.note_pause(START, &all[1], Millis(2000));
-    notices.note_leaving(START, &all[2]);
+    notices.note_pause(START, &all[0].name, all[0].generation, Millis(3000));
+    notices.note_pause(START, &all[1].name, all[1].generation, Millis(2000));
+    notices.note_leaving(START, &all[2].name, all[2].generation);
 
     let at = notices.earliest_return(START, &all.iter().collect::<Vec<_>>());
 
@@ -145,14 +148,14 @@
                     let is_current = asked.generation == current.generation;
                     match rng.random_range(0..20) {
                         0 => {
-                            notices.note_leaving(now, &asked);
+                            notices.note_leaving(now, &asked.name, asked.generation);
                             if is_current {
                                 said.left_at.get_or_insert(now);
                             }
                         }
                         1..4 => {
                             let pause = Millis(rng.random_range(1..3000));
-                            notices.note_pause(now, &asked, pause);
+                            notices.note_pause(now, &asked.name, asked.generation, pause);
                             if is_current {
                                 said.pauses.push((now, now + pause));
                             }
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -7,6 +7,7 @@
         ids::{
             ClaimKey, Class, EndpointName, Fence, Generation, RequestId, Slots, Tokens, Version,
         },
+        relay::EndpointNotice,
         router::{
             Action, AttemptEvent, AttemptIdent, EndpointCall, FairQueue, Finish, Limits,
             MAX_OUTPUT_BYTES, Outcome, Policy, Reason, RetryBudget, RetryBudgetConfig, Router,
@@ -389,3 +390,45 @@
 
     assert_eq!(outcome(&take_finish(&mut router)), Outcome::Unknown);
 }
+
+/// Submits a request, has the endpoint that gets it say this of itself, and returns
+/// the call.
+fn notice_from_first(router: &mut Router, notice: EndpointNotice) -> EndpointCall {
+    router.submit(NOW, submission("two"));
+    let sent = take_calls(router).remove(0);
+    router.on_attempt_event(NOW, sent.ident.attempt, AttemptEvent::Notice(notice));
+    sent
+}
+
+#[test]
+fn an_endpoint_that_says_it_is_leaving_gets_no_calls_while_there_is_another() {
+    let mut router = router(4);
+    let leaving = notice_from_first(&mut router, EndpointNotice::Leaving).endpoint;
+
+    for _ in 0..4 {
+        router.submit(NOW, submission("two"));
+    }
+
+    let calls = take_calls(&mut router);
+    assert!(!calls.is_empty());
+    assert!(calls.iter().all(|it| it.endpoint != leaving), "{calls:?}");
+}
+
+#[test]
+fn an_endpoint_gets_no_call_in_the_pause_that_it_asked_for() {
+    let mut router = router(1);
+    let pause = EndpointNotice::Pause(Millis(1000));
+    let sent = notice_from_first(&mut router, pause);
+    router.on_attempt_event(NOW, sent.ident.attempt, AttemptEvent::Refused { cold: false });
+    let second = take_calls(&mut router).remove(0);
+    assert_ne!(second.endpoint, sent.endpoint);
+
+    router.submit(NOW, submission("two"));
+    router.tick(NOW + Millis(999));
+    let in_pause = take_calls(&mut router);
+    router.tick(NOW + Millis(1000));
+    let after = take_calls(&mut router);
+
+    assert!(in_pause.is_empty(), "{in_pause:?}");
+    assert_eq!(after.first().map(|it| &it.endpoint), Some(&sent.endpoint));
+}
--- a/crates/daemon/src/relay/notices.rs
+++ b/crates/daemon/src/relay/notices.rs
@@ -81,7 +81,8 @@
 
     fn note_pause(&self, endpoint: &Endpoint, pause: Millis) {
         let now = time_since(self.start);
-        let until = self.table.borrow_mut().note_pause(now, endpoint, pause);
+        let until =
+            self.table.borrow_mut().note_pause(now, &endpoint.name, endpoint.generation, pause);
         log::info!(
             endpoint = endpoint.name.as_str(), generation:% = endpoint.generation,
             pause_ms = pause.0, left_ms = until.map_or(0, |it| it.since(now).0),
@@ -92,7 +93,9 @@
     }
 
     fn note_leaving(&self, endpoint: &Endpoint) -> bool {
-        let new = self.table.borrow_mut().note_leaving(time_since(self.start), endpoint);
+        let now = time_since(self.start);
+        let (name, generation) = (&endpoint.name, endpoint.generation);
+        let new = self.table.borrow_mut().note_leaving(now, name, generation);
         if new {
             log::info!(
                 endpoint = endpoint.name.as_str(), generation:% = endpoint.generation;
--- a/crates/harness/tests/endpoints.rs
+++ b/crates/harness/tests/endpoints.rs
@@ -15,9 +15,13 @@
         start_system_with,
     },
     harness::{
-        CallerResult, ClusterSpec, Fault, LONG_TIMEOUT, Proxy, StandIns, relay_endpoint, wait_until,
+        CallerResult, Cluster, ClusterSpec, Fault, LONG_TIMEOUT, Proxy, StandIns, relay_endpoint,
+        wait_until,
+    },
+    standin::{
+        AnswerEnd, AnswerFraming, Control, EndpointSpec, FramedAnswer, ReceivedRequest,
+        ScriptedEndpoint, Step, signed_response,
     },
-    standin::{AnswerEnd, AnswerFraming, Control, EndpointSpec, FramedAnswer, ScriptedEndpoint},
     std::{
         io::Write,
         net::{Shutdown, TcpStream},
@@ -392,9 +396,8 @@
     }
 }
 
-/// Starts an instance with a route of one stage, whose endpoint ends its answers like
-/// this, and returns the result of a request.
-fn call_ended(framing: AnswerFraming, end: AnswerEnd, cut: bool) -> CallerResult {
+/// Starts an instance with a route of one stage, whose endpoints are these.
+fn start_one_stage(backends: &[(&str, &ScriptedEndpoint)]) -> Cluster {
     let cluster = ClusterSpec::new(1, 0).start();
     let pool = Pool { name: "ledger".parse().expect("a valid name"), kind: PoolKind::Service };
     let stage = Stage {
@@ -410,33 +413,92 @@
     };
     let edit = Edit::Replace { routes: vec![route], pools: vec![pool] };
     cluster.operator().edit(vec![edit]).expect("the tables are accepted");
-    let backend = ScriptedEndpoint::start(Box::new(move |seen, _| {
-        let run: serde_json::Value = serde_json::from_slice(&seen.body).unwrap_or_default();
-        let line = |kind: &str, more: serde_json::Value| {
-            let mut line = serde_json::json!({ "kind": kind });
-            let fields = line.as_object_mut().expect("an object");
-            for name in ["request", "stage", "attempt"] {
-                fields.insert(name.to_owned(), run[name].clone());
-            }
-            fields.extend(more.as_object().expect("an object").clone());
-            line.to_string()
-        };
-        let piece = line("piece", serde_json::json!({ "number": 0, "data": "text" }));
-        let done = line("done", serde_json::json!({ "pieces": 1, "tokens": 1 }));
-        let last = if cut { &done[..done.len() - 1] } else { &done };
-        let text = format!("{piece}\n{last}");
-        FramedAnswer { media: "application/json", framing, text, end }.steps(seen)
-    }));
-    let endpoint = relay_endpoint("e", "ledger", backend.addr);
-    wait_until("the endpoint is granted", LONG_TIMEOUT, || {
-        cluster.daemon(0).announce(&endpoint);
+    wait_until("the endpoints are granted", LONG_TIMEOUT, || {
+        announce(&cluster, backends);
         let status = cluster.operator().status();
-        status.is_ok_and(|it| it.endpoints.iter().any(|e| e.granted > Slots(0)))
+        status.is_ok_and(|it| {
+            it.endpoints.iter().filter(|e| e.granted > Slots(0)).count() == backends.len()
+        })
     });
+    cluster
+}
+
+fn announce(cluster: &Cluster, backends: &[(&str, &ScriptedEndpoint)]) {
+    for (name, backend) in backends {
+        cluster.daemon(0).announce(&relay_endpoint(name, "ledger", backend.addr));
+    }
+}
+
+/// The lines of a complete answer with one piece.
+fn run_lines(seen: &ReceivedRequest) -> String {
+    let run: serde_json::Value = serde_json::from_slice(&seen.body).unwrap_or_default();
+    let line = |kind: &str, more: serde_json::Value| {
+        let mut line = serde_json::json!({ "kind": kind });
+        let fields = line.as_object_mut().expect("an object");
+        for name in ["request", "stage", "attempt"] {
+            fields.insert(name.to_owned(), run[name].clone());
+        }
+        fields.extend(more.as_object().expect("an object").clone());
+        line.to_string()
+    };
+    let piece = line("piece", serde_json::json!({ "number": 0, "data": "text" }));
+    let done = line("done", serde_json::json!({ "pieces": 1, "tokens": 1 }));
+    format!("{piece}\n{done}")
+}
+
+fn call_once(cluster: &Cluster) -> CallerResult {
     let request = CallerRequest { deadline_ms: 1000, ..new_request("notes", "input") };
     cluster.daemon(0).caller().send(&request)
 }
 
+/// Sends a request to an endpoint that ends its answer like this, its last byte cut or
+/// not.
+fn call_ended(framing: AnswerFraming, end: AnswerEnd, cut: bool) -> CallerResult {
+    let backend = ScriptedEndpoint::start(Box::new(move |seen, _| {
+        let mut text = run_lines(seen);
+        if cut {
+            text.pop();
+        }
+        FramedAnswer { media: "application/json", framing, text, end }.steps(seen)
+    }));
+    call_once(&start_one_stage(&[("e", &backend)]))
+}
+
+#[test]
+fn notices_in_answers_of_runs_are_obeyed() {
+    let notice = |head: &'static str| {
+        ScriptedEndpoint::start(Box::new(move |seen, _| {
+            let refused = head.starts_with("503");
+            let not_run = "{\"outcome\":\"not_run\",\"cold\":false}".to_owned();
+            let text = if refused { not_run } else { run_lines(seen) };
+            vec![Step::Send(signed_response(
+                seen,
+                head,
+                &format!("content-length: {}\r\n", text.len()),
+                &text,
+            ))]
+        }))
+    };
+    for head in ["200 OK\r\nmangobend-leaving: 1", "503 Busy\r\nretry-after: 60"] {
+        let (told, other) = (notice(head), notice("200 OK"));
+        let backends = [("e", &told), ("f", &other)];
+        let cluster = start_one_stage(&backends);
+        let runs = |it: &ScriptedEndpoint| {
+            it.received().iter().filter(|it| it.head.starts_with("POST /run")).count()
+        };
+
+        let answers: Vec<_> = (0..60)
+            .map(|_| {
+                announce(&cluster, &backends);
+                call_once(&cluster)
+            })
+            .collect();
+
+        assert!(answers.iter().all(|it| it.complete().is_some()), "{head}: {answers:?}");
+        assert_eq!(runs(&told), 1, "{head}: only the answer with the notice");
+    }
+}
+
 #[test]
 fn an_answer_whose_last_line_is_cut_is_not_complete() {
     for framing in [AnswerFraming::Length, AnswerFraming::Chunked, AnswerFraming::Close] {
