Give the relay's clock a file of its own

notices.rs and relay.rs would import each other for it, as three files did before. No change of behaviour.

--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod batcher_clients;
 mod body_check;
 mod buffers;
+mod clock;
 mod dialect;
 mod drain_state;
 mod forward;
--- a/crates/daemon/src/relay/notices.rs
+++ b/crates/daemon/src/relay/notices.rs
@@ -1,7 +1,7 @@
 //! Reads from answers that an endpoint is leaving or wants no requests for a while.
 
 use {
-    super::{HeaderNames, relay::time_since},
+    super::{HeaderNames, clock::time_since},
     coord::{
         ids::EndpointName,
         relay::{EndpointNotices, parse_pause},
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
-        batcher::Batchers, batcher_clients::BatcherClients, buffers::Buffers, notices::Notices,
-        record::SeriesLabels, request::RelayRequest, upstream::Upstream, view::View,
+        batcher::Batchers, batcher_clients::BatcherClients, buffers::Buffers, clock::time_since,
+        notices::Notices, record::SeriesLabels, request::RelayRequest, upstream::Upstream,
+        view::View,
     },
     coord::{
         ids::{EndpointName, PoolName, StageName},
@@ -240,8 +241,3 @@
         }
     }
 }
-
-/// Returns the time since `start` plus 1 ms, so never zero.
-pub fn time_since(start: Instant) -> Time {
-    Time(start.elapsed().as_millis() as u64 + 1)
-}
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         Handle, PieceError, PieceItem, PieceResult, StageOutcome, StageReply, StageRequest,
-        StoredResult, relay::time_since, upstream::SendError,
+        StoredResult, clock::time_since, upstream::SendError,
     },
     coord::{
         catalog::BatchTerms,
