--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -8,6 +8,7 @@
     },
     harness::{RawResponse, connect, exchange},
     std::{
+        io::{Read, Write},
         net::{SocketAddr, TcpListener},
         sync::{Arc, atomic::AtomicBool, mpsc::sync_channel},
         thread,
@@ -89,3 +90,17 @@
 
     assert!(!got.complete, "{}", got.text());
 }
+
+#[test]
+fn a_connection_that_fails_before_its_first_request_is_not_reset() {
+    let addr = start(|_| Vec::new());
+    let mut stream = connect(addr);
+    stream.write_all(b"no request\r\n\r\n").expect("the listener reads");
+
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+
+    let text = String::from_utf8_lossy(&answer);
+    assert!(ended.is_ok(), "{ended:?}");
+    assert!(text.starts_with("HTTP/1.1 400"), "{text}");
+}
