Read endpoints' notices in one place

Found in the last reading: the header's name, its value, and what counts as a pause stood twice, in the relay's notices and in the calls of the project's own endpoints, so that a change of one would have missed the other. Both now read the head by answer_notices.rs. No change of behaviour: the tests of both (daemon notices.rs, harness endpoints.rs) pass unchanged.

--- a/crates/daemon/src/endpoints/call.rs
+++ b/crates/daemon/src/endpoints/call.rs
@@ -1,22 +1,22 @@
 //! HTTP calls to an endpoint.
 
 use {
-    crate::event::{Event, Inbox},
+    crate::{
+        answer_notices::{LEAVING_HEADER, read_notices},
+        event::{Event, Inbox},
+    },
     coord::{
         ids::AttemptId,
-        relay::{EndpointNotice, parse_pause},
         router::{AttemptEvent, AttemptIdent, EndpointCall},
         wire::{CancelRequest, RefusalBody, RunLine, RunRequest},
     },
+    hyper::header::HeaderName,
     std::{
         io::{BufRead, BufReader, ErrorKind, Read},
         net::SocketAddr,
         time::Duration,
     },
-    ureq::{
-        Agent,
-        http::{Response, StatusCode},
-    },
+    ureq::{Agent, http::StatusCode},
 };
 
 /// How long connecting to an endpoint may take.
@@ -28,9 +28,6 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The longest line of a response.
 const MAX_LINE_BYTES: u64 = 4 * 1024 * 1024;
-/// The header of an endpoint that is leaving; its value is `1`.
-const LEAVING: &str = "mangobend-leaving";
-const RETRY_AFTER: &str = "retry-after";
 /// How long an idle connection is kept for reuse.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
 
@@ -89,7 +86,7 @@
         Ok(it) => it,
         Err(err) => return send_failure(&err),
     };
-    for notice in read_notices(&response) {
+    for notice in read_notices(&response, &HeaderName::from_static(LEAVING_HEADER)) {
         log::info!(endpoint:% = endpoint, notice:? = notice; "[endpoints] notice in an answer");
         inbox.send(Event::Attempt { id, event: AttemptEvent::Notice(notice) });
     }
@@ -102,15 +99,6 @@
     }
 }
 
-/// Reads from the head of an answer what the endpoint says of itself.
-fn read_notices<B>(response: &Response<B>) -> impl Iterator<Item = EndpointNotice> {
-    let text = |name| response.headers().get(name).and_then(|it| it.to_str().ok());
-    let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let pause = text(RETRY_AFTER).filter(|_| refused).and_then(parse_pause);
-    let leaving = (text(LEAVING) == Some("1")).then_some(EndpointNotice::Leaving);
-    leaving.into_iter().chain(pause.map(EndpointNotice::Pause))
-}
-
 /// Classifies an error of a request. Only a connection that was refused or not
 /// established in time proves that nothing was sent.
 fn send_failure(err: &ureq::Error) -> AttemptEvent {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! Embedding programs add services of their own as [`run::ExtraService`].
 
 pub mod accept;
+mod answer_notices;
 pub mod callers;
 mod chunk_support;
 mod core;
--- a/crates/daemon/src/relay/dialect.rs
+++ b/crates/daemon/src/relay/dialect.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{Handle, PieceResult},
+    crate::answer_notices::LEAVING_HEADER,
     coord::time::Millis,
     hyper::header::{AUTHORIZATION, HeaderName},
     serde::{Deserialize, Serialize},
@@ -108,7 +109,7 @@
             endpoint: name("mangobend-endpoint"),
             signature: name("mangobend-signature"),
             not_run: name("mangobend-not-run"),
-            leaving: name("mangobend-leaving"),
+            leaving: name(LEAVING_HEADER),
             parts: name("mangobend-parts"),
             pieces: name("mangobend-pieces"),
             source: name("mangobend-source"),
--- a/crates/daemon/src/relay/notices.rs
+++ b/crates/daemon/src/relay/notices.rs
@@ -2,16 +2,14 @@
 
 use {
     super::{HeaderNames, clock::time_since},
+    crate::answer_notices::read_notices,
     coord::{
         ids::EndpointName,
-        relay::{EndpointNotices, parse_pause},
+        relay::{EndpointNotice, EndpointNotices},
         tables::{Endpoint, Tables},
         time::{Millis, Time},
     },
-    hyper::{
-        HeaderMap, Response, StatusCode,
-        header::{HeaderName, RETRY_AFTER},
-    },
+    hyper::{Response, header::HeaderName},
     metrics::counter,
     std::{
         cell::{Cell, Ref, RefCell},
@@ -19,9 +17,6 @@
     },
 };
 
-/// The value of the header of an endpoint that is leaving.
-const LEAVING: &str = "1";
-
 /// The notices of the endpoints, as this instance has read them.
 pub struct Notices {
     table: RefCell<EndpointNotices>,
@@ -60,14 +55,14 @@
     /// Reads the head of an endpoint's answer. Returns whether the endpoint has just
     /// said that it is leaving.
     pub fn read<B>(&self, endpoint: &Endpoint, response: &Response<B>) -> bool {
-        let headers = response.headers();
-        let text = |name| headers.get(name).and_then(|it| it.to_str().ok());
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE
-            && let Some(pause) = text(&RETRY_AFTER).and_then(parse_pause)
-        {
-            self.note_pause(endpoint, pause);
+        let mut newly_leaving = false;
+        for notice in read_notices(response, &self.leaving) {
+            match notice {
+                EndpointNotice::Pause(pause) => self.note_pause(endpoint, pause),
+                EndpointNotice::Leaving => newly_leaving = self.note_leaving(endpoint),
+            }
         }
-        is_leaving(headers, &self.leaving) && self.note_leaving(endpoint)
+        newly_leaving
     }
 
     /// Logs the pauses that have ended since the last call.
@@ -107,10 +102,6 @@
     }
 }
 
-fn is_leaving(headers: &HeaderMap, name: &HeaderName) -> bool {
-    headers.get(name).is_some_and(|it| it.as_bytes() == LEAVING.as_bytes())
-}
-
 fn count(endpoint: &Endpoint, notice: &'static str) {
     let pool = endpoint.pool.to_string();
     counter!("mangobend_endpoint_notices_total", "pool" => pool, "notice" => notice).increment(1);
