Log what a leader sends to instances and to other voters

The logs couldn't tell the hypotheses of the configurations that never arrive apart: neither how large an update of the tables is and whether it repeats one that was given up, nor how many entries are under way to a voter. The leader now reports both once a second while there is anything to report, with counters of updates by kind, of repeated ones and of their bytes. Sizes are counted once, when a delta or an entry is added. No decision changes.

--- a/crates/coord/src/control/feed.rs
+++ b/crates/coord/src/control/feed.rs
@@ -3,7 +3,8 @@
 use {
     super::Update,
     crate::{
-        ids::Index,
+        ids::{Bytes, Index},
+        size::json_size,
         tables::{Delta, Tables},
     },
     std::collections::VecDeque,
@@ -19,7 +20,7 @@
 /// Recent deltas of the tables with their log indices.
 #[derive(Debug, Default)]
 pub struct Feed {
-    deltas: VecDeque<(Index, Delta)>,
+    deltas: VecDeque<(Index, Delta, Bytes)>,
     /// All deltas after this index are kept.
     base: Index,
     /// The index of the latest delta.
@@ -34,10 +35,11 @@
 
     /// Appends a delta.
     pub fn push(&mut self, index: Index, delta: Delta) {
-        self.deltas.push_back((index, delta));
+        let size = json_size(&delta);
+        self.deltas.push_back((index, delta, size));
         self.last = index;
         if self.deltas.len() > MAX_DELTAS {
-            let (index, _) = self.deltas.pop_front().expect("the feed isn't empty");
+            let (index, ..) = self.deltas.pop_front().expect("the feed isn't empty");
             self.base = index;
         }
     }
@@ -52,11 +54,30 @@
         if applied >= self.last && applied > Index(0) {
             return Update::Same;
         }
-        let start = self.deltas.partition_point(|(index, _)| *index <= applied);
+        let start = self.start_after(applied);
         let count = self.deltas.len() - start;
         if applied < self.base || applied == Index(0) || count > MAX_UPDATE_DELTAS {
             return Update::Full(Box::new(tables.clone()));
         }
-        Update::Deltas(self.deltas.range(start..).cloned().collect())
+        let deltas = self.deltas.range(start..).map(|(index, delta, _)| (*index, delta.clone()));
+        Update::Deltas(deltas.collect())
+    }
+
+    /// Returns the size of an update for a copy that has applied everything up to an
+    /// index: that of its deltas or, for whole tables, of their catalog.
+    pub fn update_size(&self, applied: Index, update: &Update) -> Bytes {
+        match update {
+            Update::Same => Bytes(0),
+            Update::Full(tables) => json_size(&tables.catalog),
+            Update::Deltas(_) => {
+                let rows = self.deltas.range(self.start_after(applied)..);
+                Bytes(rows.map(|(_, _, size)| size.0).sum())
+            }
+        }
+    }
+
+    /// The position of the first delta after an index.
+    fn start_after(&self, applied: Index) -> usize {
+        self.deltas.partition_point(|(index, ..)| *index <= applied)
     }
 }
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod shares;
 mod status;
 mod teams;
+mod update_stats;
 mod voter;
 
 pub use {
@@ -32,5 +33,6 @@
     shares::{EndpointCapacity, ShareHolder, ShareTable},
     status::{EndpointStatus, MemberStatus, Status},
     teams::TeamTable,
+    update_stats::{UpdateCounts, UpdateStats},
     voter::{Completion, ProposalError, Token, Voter},
 };
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -149,8 +149,10 @@
         self.completions.push(Completion::Renewal(it.token, Box::new(Ok(reply))));
     }
 
-    fn reply(&self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
+    fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
         let update = self.feed.update(request.applied, &self.state.tables);
+        let size = self.feed.update_size(request.applied, &update);
+        self.update_stats.record(request.node, request.applied, &update, size);
         let index = match update {
             Update::Same => request.applied,
             Update::Deltas(_) => self.feed.last(),
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable, MemberStatus, RenewError,
-        RenewReply, RenewRequest, ShareHolder, ShareTable, Status, TeamTable,
+        RenewReply, RenewRequest, ShareHolder, ShareTable, Status, TeamTable, UpdateCounts,
+        UpdateStats,
     },
     crate::{
         ids::{Index, NodeId, Slots, Term, Version},
@@ -69,6 +70,7 @@
     pub(super) applied: Index,
     pub(super) snapshot_index: Index,
     pub(super) feed: Feed,
+    pub(super) update_stats: UpdateStats,
     pub(super) pending: IndexMap<Index, (Term, Token)>,
     pub(super) renewals: IndexMap<NodeId, Renewal>,
     /// The revision of the shares and the last delta when delayed renewals were last
@@ -102,6 +104,7 @@
             applied: start,
             snapshot_index: start,
             feed: Feed::start(start),
+            update_stats: UpdateStats::default(),
             pending: IndexMap::new(),
             renewals: IndexMap::new(),
             last_answered: (0, start),
@@ -255,6 +258,11 @@
         self.answer_renewal(now, node, &endpoints);
     }
 
+    /// Takes the counts of the updates sent since the last call.
+    pub fn take_update_counts(&mut self) -> UpdateCounts {
+        self.update_stats.take()
+    }
+
     /// Takes the completions since the last call.
     pub fn take_completions(&mut self) -> Vec<Completion> {
         std::mem::take(&mut self.completions)
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod raft;
 pub mod relay;
 pub mod router;
+pub mod size;
 pub mod tables;
 pub mod time;
 pub mod wire;
--- a/crates/coord/src/raft/log.rs
+++ b/crates/coord/src/raft/log.rs
@@ -3,7 +3,8 @@
 use {
     super::Config,
     crate::{
-        ids::{Index, Term},
+        ids::{Bytes, Index, Term},
+        size::json_size,
         tables::{Command, State},
     },
     serde::{Deserialize, Serialize},
@@ -45,6 +46,8 @@
     /// snapshot, since some entries are kept for followers that lag.
     base: (Index, Term),
     entries: Vec<Entry>,
+    /// The size of each kept entry.
+    sizes: Vec<Bytes>,
 }
 
 impl Log {
@@ -55,7 +58,8 @@
             (_, Some(snap)) => (snap.index, snap.term),
             _ => (Index(0), Term(0)),
         };
-        Self { snapshot, base, entries }
+        let sizes = entries.iter().map(json_size).collect();
+        Self { snapshot, base, entries, sizes }
     }
 
     /// The index of the last entry.
@@ -104,6 +108,16 @@
         &self.entries[start..end]
     }
 
+    /// The size of the kept entries after one index, up to and including another.
+    pub fn size_between(&self, after: Index, last: Index) -> Bytes {
+        let offset = |index: Index| {
+            let kept = (index.0 + 1).saturating_sub(self.first_index().0) as usize;
+            kept.min(self.sizes.len())
+        };
+        let (start, end) = (offset(after), offset(last));
+        Bytes(self.sizes[start.min(end)..end].iter().map(|it| it.0).sum())
+    }
+
     /// Appends the next entry.
     ///
     /// # Panics
@@ -114,6 +128,7 @@
             self.last_index().next(),
             "log entries must have consecutive indexes"
         );
+        self.sizes.push(json_size(&entry));
         self.entries.push(entry);
     }
 
@@ -121,6 +136,7 @@
     pub fn truncate(&mut self, from: Index) {
         let keep = from.0.saturating_sub(self.first_index().0);
         self.entries.truncate(keep as usize);
+        self.sizes.truncate(keep as usize);
     }
 
     /// Stores a newer snapshot and drops the entries that it covers, except for
@@ -129,7 +145,9 @@
         let base = Index(snapshot.index.0.saturating_sub(trailing));
         if base > self.base.0 {
             let term = self.term(base).expect("the term of a kept entry is known");
-            self.entries.drain(..(base.0 - self.base.0.0) as usize);
+            let dropped = (base.0 - self.base.0.0) as usize;
+            self.entries.drain(..dropped);
+            self.sizes.drain(..dropped);
             self.base = (base, term);
         }
         self.snapshot = Some(snapshot);
@@ -139,6 +157,7 @@
     pub fn install(&mut self, snapshot: Arc<Snapshot>) {
         self.base = (snapshot.index, snapshot.term);
         self.entries.clear();
+        self.sizes.clear();
         self.snapshot = Some(snapshot);
     }
 
--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -3,7 +3,7 @@
 use {
     super::{Config, Entry, Log, Message, Outgoing, Payload, Progress, Snapshot},
     crate::{
-        ids::{Index, NodeId, Term},
+        ids::{Bytes, Index, NodeId, Term},
         tables::Command,
         time::{Millis, Time},
     },
@@ -241,6 +241,17 @@
         &self.followers
     }
 
+    /// The followers with entries that were sent and not acknowledged, with the number
+    /// of these and their size.
+    pub fn unacknowledged(&self) -> impl Iterator<Item = (NodeId, u64, Bytes)> + '_ {
+        let rows = self.followers.iter().map(|(id, it)| {
+            let last = it.next.prev();
+            let size = self.log.size_between(it.matched, last);
+            (*id, last.0.saturating_sub(it.matched.0), size)
+        });
+        rows.filter(|(_, count, _)| *count > 0)
+    }
+
     /// The last index known to be durable at a voter or learner and committed;
     /// zero if unknown.
     pub fn acked(&self, id: NodeId) -> Index {
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -41,6 +41,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// The interval at which the gauges are updated.
 const GAUGE_INTERVAL: Millis = Millis(500);
+/// The least time between two reports of what a leader sends.
+const REPORT_INTERVAL: Millis = Millis(1000);
 
 /// A caller whose request is unfinished.
 pub(super) struct CallerRow {
@@ -100,6 +102,7 @@
     syncing: bool,
     logged_view: Option<VoterView>,
     gauges_at: Time,
+    reported_at: Time,
     start: Instant,
 }
 
@@ -152,6 +155,7 @@
             syncing: false,
             logged_view: None,
             gauges_at: now,
+            reported_at: now,
             start: context.start,
         };
         core.flush(now);
@@ -214,6 +218,7 @@
         let ready = self.holder.has_lease(now) && self.stop.is_none();
         self.ready.store(ready, Ordering::Relaxed);
         self.tick_gauges(now);
+        self.report_sent(now);
         self.flush(now);
         if let Some(code) = self.exit {
             self.close_disk();
@@ -363,6 +368,33 @@
         }
     }
 
+    /// Logs and counts the updates that this leader has sent to instances, and the
+    /// entries under way to other voters.
+    fn report_sent(&mut self, now: Time) {
+        let Some(voter) = &mut self.voter else {
+            return;
+        };
+        if now.since(self.reported_at) < REPORT_INTERVAL {
+            return;
+        }
+        self.reported_at = now;
+        let it = voter.take_update_counts();
+        if it.updates > 0 {
+            log::info!(
+                updates = it.updates, whole = it.whole, repeated = it.repeated,
+                deltas = it.deltas, bytes = it.bytes.0, index:% = voter.applied();
+                "[lease] updates sent"
+            );
+            self.meters.record_updates(&it);
+        }
+        for (follower, entries, size) in voter.raft().unacknowledged() {
+            log::info!(
+                follower:% = follower, entries = entries, bytes = size.0;
+                "[agreement] entries sent and not acknowledged"
+            );
+        }
+    }
+
     /// Sets the gauges to the current values.
     pub(super) fn update_gauges(&mut self, now: Time) {
         self.gauges_at = now;
--- a/crates/daemon/src/telemetry/meters.rs
+++ b/crates/daemon/src/telemetry/meters.rs
@@ -3,6 +3,7 @@
 use {
     super::SeriesBound,
     coord::{
+        control::UpdateCounts,
         ids::{Class, RouteName, TeamName},
         router::{Finish, Stats},
         time::Millis,
@@ -102,6 +103,15 @@
         counter!("mangobend_refused_cold_total").absolute(stats.refused_cold);
     }
 
+    /// Records the updates that this instance has sent as the leader.
+    pub fn record_updates(&self, counts: &UpdateCounts) {
+        let sent = |kind: &'static str| counter!("mangobend_updates_total", "kind" => kind);
+        sent("whole").increment(counts.whole);
+        sent("deltas").increment(counts.updates - counts.whole);
+        counter!("mangobend_updates_repeated_total").increment(counts.repeated);
+        counter!("mangobend_update_bytes_total").increment(counts.bytes.0);
+    }
+
     /// Records this instance's replicated state: the version and log index of its
     /// tables, whether it is the leader, and the number of claims.
     pub fn record_control(&self, version: u64, index: u64, is_leader: bool, claims: usize) {
