Add failing tests of what changes of large catalogs cost

Callers of the grown sites were served by an older configuration than the one acknowledged (CONFIG), and by endpoints that leave (DRAIN).

The harness's proxy learns to limit the rate of a connection. Raft gets an accessor for the size of its log.

--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -252,6 +252,11 @@
         rows.filter(|(_, count, _)| *count > 0)
     }
 
+    /// The size of the entries that are kept in memory.
+    pub fn kept_size(&self) -> Bytes {
+        self.log.size_between(Index(0), self.log.last_index())
+    }
+
     /// The last index known to be durable at a voter or learner and committed;
     /// zero if unknown.
     pub fn acked(&self, id: NodeId) -> Index {
--- /dev/null
+++ b/crates/coord/tests/large_catalogs.rs
@@ -0,0 +1,131 @@
+//! What changes of a large catalog cost instances and voters.
+
+use {
+    coord::{
+        catalog::{
+            Catalog, CatalogLimits, ColdBound, RelayRoute, RetryPolicy, Service, Split, TeamEntry,
+        },
+        control::{Feed, Token, Voter},
+        ids::{Bytes, CatalogVersion, Index, NodeId, PoolName},
+        raft::{Config, RestoredState},
+        size::json_size,
+        tables::{Command, State},
+        time::{Millis, Time},
+    },
+    std::sync::Arc,
+};
+
+fn pool() -> PoolName {
+    "p".parse().expect("a name")
+}
+
+fn route(number: usize) -> RelayRoute {
+    RelayRoute {
+        name: format!("route-{number}").parse().expect("a name"),
+        host: format!("host{}.example", number % 50),
+        prefix: format!("/prefix-{number}/"),
+        retry: RetryPolicy::Idempotent,
+        timeout: Millis(1000),
+        latency_target: Millis(100),
+        priority: 0,
+        split: vec![Split { pool: pool(), weight: 1 }],
+        max_attempts: 1,
+        stages: Vec::new(),
+        public: false,
+        sticky: false,
+        event_gap: None,
+    }
+}
+
+/// A catalog with this many routes, one of which differs from version to version.
+fn catalog(version: u64, routes: usize) -> Catalog {
+    let service = Service {
+        health_path: "/".to_owned(),
+        max_connections: 1,
+        cold_start: ColdBound::default(),
+        engine: None,
+        batch: None,
+    };
+    let mut routes: Vec<RelayRoute> = (0..routes).map(route).collect();
+    let changed = version as usize % routes.len();
+    routes[changed].timeout = Millis(1000 + version);
+    Catalog {
+        version: CatalogVersion(version),
+        routes,
+        services: [(pool(), service)].into_iter().collect(),
+        teams: [("t".parse().expect("a name"), TeamEntry { keys: Vec::new(), priority: None })]
+            .into_iter()
+            .collect(),
+        limits: CatalogLimits::default(),
+    }
+}
+
+fn command(catalog: Catalog) -> Command {
+    let document = serde_json::to_string(&catalog).expect("a catalog can be written");
+    Command::Catalog { catalog: Arc::new(catalog), document: document.into() }
+}
+
+/// The state and the feed after versions 1 to `last` of a catalog.
+fn replicate(last: u64, routes: usize) -> (State, Feed) {
+    let mut state = State::default();
+    let mut feed = Feed::start(Index(0));
+    for version in 1..=last {
+        let applied = state.apply(Index(version), &command(catalog(version, routes)));
+        feed.push(Index(version), applied.delta.expect("each version changes the tables"));
+    }
+    (state, feed)
+}
+
+/// The size of the update of an instance that has applied everything up to an index.
+fn update_size(state: &State, feed: &Feed, applied: u64) -> Bytes {
+    json_size(&feed.update(Index(applied), &state.tables))
+}
+
+#[test]
+fn the_update_after_a_change_of_one_route_does_not_grow_with_the_catalog() {
+    let (small_state, small_feed) = replicate(2, 1_000);
+    let (large_state, large_feed) = replicate(2, 20_000);
+
+    let small = update_size(&small_state, &small_feed, 1);
+    let large = update_size(&large_state, &large_feed, 1);
+
+    assert!(large.0 < 2 * small.0, "{small} bytes at 1,000 routes, {large} at 20,000");
+}
+
+#[test]
+fn the_update_after_many_missed_changes_is_no_larger_than_the_whole_tables() {
+    let (state, feed) = replicate(40, 2_800);
+
+    let missed = update_size(&state, &feed, 1);
+
+    let whole = json_size(&state.tables);
+    assert!(missed.0 <= whole.0, "{missed} bytes for 39 changes, the tables have {whole}");
+}
+
+#[test]
+fn a_voter_bounds_the_log_that_it_keeps_in_bytes() {
+    let (id, addr) = (NodeId(1), "127.0.0.1:1".parse().expect("an address"));
+    let mut now = Time(1);
+    let mut voter = Voter::new(id, RestoredState::default(), now, 1);
+    voter.raft_mut().bootstrap(Config::single(id, addr));
+    let sync = |voter: &mut Voter, now| {
+        while let Some(batch) = voter.raft_mut().take_batch() {
+            voter.synced(now, batch.last);
+        }
+    };
+    while !voter.raft().has_committed_in_term() {
+        now = now + Millis(10);
+        voter.tick(now);
+        sync(&mut voter, now);
+    }
+
+    for version in 1..=60 {
+        now = now + Millis(10);
+        voter.propose(now, Token(version), command(catalog(version, 2_800)));
+        sync(&mut voter, now);
+    }
+
+    assert_eq!(voter.state().tables.catalog.version, CatalogVersion(60));
+    let kept = voter.raft().kept_size();
+    assert!(kept.0 <= 16 << 20, "the log has {kept} bytes in memory");
+}
--- a/crates/coord/tests/raft_steps.rs
+++ b/crates/coord/tests/raft_steps.rs
@@ -7,7 +7,8 @@
             Config, ELECTION_TIMEOUT_MAX, Entry, HardState, LogOp, Message, Outgoing, Payload,
             Raft, RestoredState, Role, Snapshot,
         },
-        tables::State,
+        size::json_size,
+        tables::{Command, State},
         time::{Millis, Time},
     },
     std::{net::SocketAddr, sync::Arc},
@@ -200,3 +201,82 @@
 
     assert_eq!(raft.role(), Role::Follower);
 }
+
+/// A log of this many entries of term 2 after the configuration, each of at least
+/// `bytes`.
+fn long_log(count: u64, bytes: usize) -> Vec<Entry> {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    let voters = [FIRST, SECOND, THIRD].into_iter().map(|id| (id, addr)).collect();
+    let config = Config { voters, learners: Default::default() };
+    let command =
+        Command::Catalog { catalog: Default::default(), document: "x".repeat(bytes).into() };
+    let first = entry(1, 1, Payload::Config(config));
+    let rest = (2..=count).map(|index| entry(2, index, Payload::Command(command.clone())));
+    [first].into_iter().chain(rest).collect()
+}
+
+/// A leader of term 3 with this log, which has heard of nobody but its elector.
+fn leader_of(entries: Vec<Entry>) -> (Raft, Time) {
+    let hard = HardState { term: Term(2), vote: None };
+    let mut raft = Raft::new(FIRST, RestoredState { hard, snapshot: None, entries }, START, 1);
+    let now = START + ELECTION_TIMEOUT_MAX;
+    raft.tick(now);
+    raft.step(now, SECOND, Message::VoteReply { term: Term(3), pre: true, granted: true });
+    raft.step(now, SECOND, Message::VoteReply { term: Term(3), pre: false, granted: true });
+    let batch = raft.take_batch().expect("the vote and the first entry");
+    raft.synced(batch.last);
+    (raft, now)
+}
+
+/// Lets a leader run for three seconds while one follower acknowledges all that it is
+/// sent and the other is silent; returns the size of the entries sent to the latter.
+fn bytes_sent_to_silent(raft: &mut Raft, start: Time) -> u64 {
+    let mut bytes = 0;
+    for passed in (0..3000).step_by(10) {
+        let now = start + Millis(passed);
+        raft.tick(now);
+        for it in raft.take_ready() {
+            let Message::Append { entries, prev, sent, .. } = it.message else {
+                continue;
+            };
+            if it.to == THIRD {
+                bytes += entries.iter().map(|it| json_size(it).0).sum::<u64>();
+                continue;
+            }
+            let index = Index(prev.0 + entries.len() as u64);
+            let ok = Message::AppendReply { term: Term(3), ok: true, index, sent };
+            raft.step(now, SECOND, ok);
+        }
+        while let Some(batch) = raft.take_batch() {
+            raft.synced(batch.last);
+        }
+    }
+    bytes
+}
+
+#[test]
+fn a_new_leader_sends_no_old_entries_to_a_voter_that_has_not_answered() {
+    let (mut raft, now) = leader_of(long_log(280, 70_000));
+
+    let bytes = bytes_sent_to_silent(&mut raft, now);
+
+    assert!(bytes < 70_000, "{bytes} bytes of entries were sent to a voter whose log isn't known");
+}
+
+#[test]
+fn the_entries_sent_to_a_voter_that_does_not_acknowledge_them_are_bounded_in_bytes() {
+    let (mut raft, now) = leader_of(long_log(2, 1));
+    let known = Message::AppendReply { term: Term(3), ok: true, index: Index(3), sent: now.0 };
+    raft.step(now, THIRD, known);
+    let command =
+        Command::Catalog { catalog: Default::default(), document: "x".repeat(1 << 20).into() };
+    for _ in 0..40 {
+        raft.propose(command.clone()).expect("the leader takes proposals");
+    }
+
+    let bytes = bytes_sent_to_silent(&mut raft, now);
+
+    // 40 entries of 1 MB wait. A voter that answers nothing may be sent a few of them
+    // again and again, not all.
+    assert!(bytes <= 32 << 20, "{bytes} bytes of entries were sent to a silent voter in 3 s");
+}
--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -29,6 +29,8 @@
     pub cut: bool,
     /// Delay of each read, in milliseconds.
     pub delay_ms: u64,
+    /// Bytes forwarded per second and direction of a connection; 0 is no limit.
+    pub rate: u64,
 }
 
 /// A proxy in front of one address. A connection that is open when bytes start
@@ -110,8 +112,10 @@
     /// Sets the fault of the connections of a tracked process. If it drops bytes,
     /// the process's open connections are blackholed.
     pub fn set_process_fault(&self, pid: u32, fault: Fault) {
-        if fault.drop_in || fault.drop_out {
+        if fault != Fault::default() {
             self.shared.resolve_sources();
+        }
+        if fault.drop_in || fault.drop_out {
             self.shared.blackhole(|it| it.source == Some(pid));
         }
         self.shared.sources.lock().expect("lock poisoned").insert(pid, fault);
@@ -210,6 +214,9 @@
         if fault.delay_ms > 0 {
             thread::sleep(Duration::from_millis(fault.delay_ms));
         }
+        if fault.rate > 0 {
+            thread::sleep(Duration::from_micros(count as u64 * 1_000_000 / fault.rate));
+        }
         let dropped = if to_target { fault.drop_in } else { fault.drop_out };
         if dropped || shared.is_blackholed(number) {
             continue;
