--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -214,8 +214,8 @@
         if fault.delay_ms > 0 {
             thread::sleep(Duration::from_millis(fault.delay_ms));
         }
-        if fault.rate > 0 {
-            thread::sleep(Duration::from_micros(count as u64 * 1_000_000 / fault.rate));
+        if let Some(micros) = (count as u64 * 1_000_000).checked_div(fault.rate) {
+            thread::sleep(Duration::from_micros(micros));
         }
         let dropped = if to_target { fault.drop_in } else { fault.drop_out };
         if dropped || shared.is_blackholed(number) {
