--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -33,6 +33,12 @@
     pub rate: u64,
 }
 
+impl Fault {
+    /// No fault.
+    pub const NONE: Self =
+        Self { drop_in: false, drop_out: false, cut: false, delay_ms: 0, rate: 0 };
+}
+
 /// A proxy in front of one address. A connection that is open when bytes start
 /// to be dropped stays blackholed after the fault ends, like a connection whose
 /// state a middlebox has lost.
--- a/crates/harness/tests/agreement.rs
+++ b/crates/harness/tests/agreement.rs
@@ -21,7 +21,7 @@
 const LEASE_BOUND: Duration = Duration::from_millis(3000);
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
-const DROP_ALL: Fault = Fault { drop_in: true, drop_out: true, cut: false, delay_ms: 0 };
+const DROP_ALL: Fault = Fault { drop_in: true, drop_out: true, ..Fault::NONE };
 
 fn put_pool(name: &str) -> Edit {
     Edit::PutPool(Pool { name: name.parse().expect("a valid name"), kind: PoolKind::Model })
--- a/crates/harness/tests/large_catalogs.rs
+++ b/crates/harness/tests/large_catalogs.rs
@@ -17,8 +17,7 @@
 };
 
 /// 10 Mbit/s, the link of a small instance.
-const SLOW_LINK: Fault =
-    Fault { drop_in: false, drop_out: false, cut: false, delay_ms: 0, rate: 1_250_000 };
+const SLOW_LINK: Fault = Fault { rate: 1_250_000, ..Fault::NONE };
 /// Within which an acknowledged catalog is in force at each instance.
 const IN_FORCE_WITHIN: Duration = Duration::from_millis(2500);
 /// What control may take of an instance's memory, in MiB.
--- a/crates/harness/tests/soaking/soak.rs
+++ b/crates/harness/tests/soaking/soak.rs
@@ -204,24 +204,22 @@
             cluster.start(i);
         }
         InstanceFault::CutPeers(i) => {
-            hold_network_fault(cluster, window, i, Fault { cut: true, ..NO_FAULT })
+            hold_network_fault(cluster, window, i, Fault { cut: true, ..Fault::NONE })
         }
         InstanceFault::DropInbound(i) => {
-            hold_network_fault(cluster, window, i, Fault { drop_in: true, ..NO_FAULT })
+            hold_network_fault(cluster, window, i, Fault { drop_in: true, ..Fault::NONE })
         }
         InstanceFault::DropOutbound(i) => {
-            hold_network_fault(cluster, window, i, Fault { drop_out: true, ..NO_FAULT })
+            hold_network_fault(cluster, window, i, Fault { drop_out: true, ..Fault::NONE })
         }
         InstanceFault::Delay(i) => {
-            hold_network_fault(cluster, window, i, Fault { delay_ms: 100, ..NO_FAULT })
+            hold_network_fault(cluster, window, i, Fault { delay_ms: 100, ..Fault::NONE })
         }
         InstanceFault::Blackhole(i) => cluster.instances[i].proxy.blackhole_open(),
     }
     wait_recovered(cluster, window)
 }
 
-const NO_FAULT: Fault = Fault { drop_in: false, drop_out: false, cut: false, delay_ms: 0 };
-
 fn hold_network_fault(
     cluster: &Cluster,
     window: &FaultWindow<InstanceFault>,
