Send instances what changed in the catalog, not the catalog

What callers saw: requests were handled by an older configuration than the one acknowledged 2.5 s before, and reached endpoints that had said so long before that they leave (CONFIG, DRAIN on the grown sites).

Cause: the feed held each catalog whole, and an instance was sent every one that it had missed. 82 answers of 0.7 to 3.4 MB took the leader's processor and the entry instances' links for longer than the 1.2 s after which an answer is given up, and what was given up was asked for again, whole and with what had come since.

Evidence: the leader's new log lines: 41 of 86 updates in a second repeated ones, 22 deltas and 2.7 MB for each instance, without any change being made.

Change: the state machine works out what differs between two catalogs by their rows; the feed and updates hold that, compressed, encoded once and shared by all receivers. The result is checked against a digest of the canonical catalog; a copy for which it doesn't hold asks for the whole tables. Whole tables carry the catalog compressed, encoded once a version. An instance of an earlier build doesn't say that it reads packed updates, and gets whole tables as before; old logs hold the same commands.

--- a/crates/coord/src/catalog/catalog.rs
+++ b/crates/coord/src/catalog/catalog.rs
@@ -3,11 +3,12 @@
 use {
     super::{ApiKey, CatalogError, RelayRoute, Service, TeamEntry, error::*},
     crate::{
-        ids::{Bytes, CatalogVersion, PoolName, TeamName},
+        ids::{Bytes, CatalogDigest, CatalogVersion, PoolName, TeamName},
         time::Millis,
     },
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
     snafu::ensure,
 };
 
@@ -70,6 +71,21 @@
         self.check_keys()
     }
 
+    /// Puts the rows into canonical order, so that equal catalogs have equal digests.
+    pub fn sort(&mut self) {
+        self.routes.sort_by(|a, b| a.key().cmp(&b.key()));
+        self.services.sort_keys();
+        self.teams.sort_keys();
+    }
+
+    /// Returns a digest of the content. It covers the order of rows; see [`Self::sort`].
+    pub fn digest(&self) -> CatalogDigest {
+        let mut hash = Sha256::new();
+        serde_json::to_writer(&mut hash, self).expect("a catalog can be written as JSON");
+        let hash = hash.finalize();
+        CatalogDigest(u64::from_be_bytes(hash[..8].try_into().expect("a digest has 32 bytes")))
+    }
+
     /// Whether teams are configured, so that requests need an API key unless
     /// their route is public.
     pub fn has_teams(&self) -> bool {
--- a/crates/coord/src/catalog/mod.rs
+++ b/crates/coord/src/catalog/mod.rs
@@ -4,6 +4,7 @@
 
 #[allow(clippy::module_inception)]
 mod catalog;
+mod delta;
 mod error;
 mod index;
 mod route;
@@ -12,6 +13,7 @@
 
 pub use {
     catalog::{Catalog, CatalogLimits},
+    delta::{CatalogDelta, CatalogDeltaError},
     error::CatalogError,
     index::RouteIndex,
     route::{RelayRoute, RelayStage, RetryPolicy, Split},
--- a/crates/coord/src/catalog/route.rs
+++ b/crates/coord/src/catalog/route.rs
@@ -73,6 +73,11 @@
 }
 
 impl RelayRoute {
+    /// The host and prefix, which no two routes of a catalog share.
+    pub fn key(&self) -> (&str, &str) {
+        (&self.host, &self.prefix)
+    }
+
     /// Picks a pool by weight. `draw` is uniformly random over all of `u64`.
     /// Returns nothing if the weights sum to zero.
     pub fn pick(&self, draw: u64) -> Option<&PoolName> {
--- a/crates/coord/src/control/holder.rs
+++ b/crates/coord/src/control/holder.rs
@@ -3,6 +3,7 @@
 use {
     super::{Grants, RenewReply, Update},
     crate::{
+        catalog::CatalogDeltaError,
         ids::{Index, Term},
         tables::Tables,
         time::Time,
@@ -17,6 +18,8 @@
     pub tables: bool,
     /// The share list, if the reply has a newer one.
     pub grants: Option<Grants>,
+    /// Why the update couldn't be applied. The whole tables are asked for next.
+    pub failure: Option<String>,
 }
 
 /// The lease of one instance, its copy of the tables and the number of its share
@@ -85,7 +88,13 @@
         if reply.term < self.term || until <= now || reply.index < self.index {
             return HolderChange::default();
         }
-        let tables = self.apply_update(reply.update, reply.index);
+        let (tables, failure) = match self.apply_update(reply.update, reply.index) {
+            Ok(changed) => (changed, None),
+            Err(err) => {
+                self.index = Index(0);
+                (true, Some(err.to_string()))
+            }
+        };
         self.term = reply.term;
         self.lease_end = self.lease_end.max(Some(until));
         self.want_holdings = reply.want_holdings;
@@ -93,27 +102,33 @@
         if let Some(it) = &grants {
             self.grants = it.number;
         }
-        HolderChange { tables, grants }
+        HolderChange { tables, grants, failure }
     }
 
-    fn apply_update(&mut self, update: Update, index: Index) -> bool {
+    /// Brings the copy up to date; returns whether it changed. After an error it holds
+    /// the deltas before the one that failed.
+    fn apply_update(&mut self, update: Update, index: Index) -> Result<bool, CatalogDeltaError> {
         let previous = self.index;
+        let is_whole = matches!(update, Update::Full(_) | Update::Packed { .. });
+        if previous == Index(0) && !is_whole {
+            // A late reply to a renewal from before a failed update.
+            return Ok(false);
+        }
         self.index = index;
         match update {
-            Update::Same => false,
-            Update::Full(tables) => {
-                self.tables = Arc::new(*tables);
-                true
+            Update::Same => return Ok(false),
+            Update::Full(tables) => self.tables = Arc::new(*tables),
+            Update::Packed { tables, catalog } => {
+                let catalog = Arc::new(catalog.open()?);
+                self.tables = Arc::new(Tables { catalog, ..*tables });
             }
             Update::Deltas(deltas) => {
                 let tables = Arc::make_mut(&mut self.tables);
-                for (at, delta) in deltas {
-                    if at > previous {
-                        tables.apply(&delta);
-                    }
+                for (_, delta) in deltas.iter().filter(|(at, _)| *at > previous) {
+                    tables.apply(delta)?;
                 }
-                true
             }
         }
+        Ok(true)
     }
 }
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -4,10 +4,12 @@
 
 use {
     crate::{
+        catalog::Catalog,
         ids::{
             EndpointName, Generation, Incarnation, Index, NodeId, PoolName, Slots, TeamName, Term,
             Version,
         },
+        packed::Packed,
         tables::{Delta, Tables},
         time::Millis,
     },
@@ -49,6 +51,9 @@
     pub demand: Vec<Demand>,
     /// The teams with requests in flight here.
     pub teams: Vec<TeamUse>,
+    /// Whether the instance reads packed updates; earlier builds don't.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub packed: bool,
     /// Whether the instance is stopping. The reply then has a lease of length zero.
     pub leaving: bool,
 }
@@ -123,6 +128,11 @@
     #[serde(rename = "steps")]
     Deltas(Vec<(Index, Delta)>),
     Full(Box<Tables>),
+    /// The whole tables, with the catalog apart from them.
+    Packed {
+        tables: Box<Tables>,
+        catalog: Packed<Catalog>,
+    },
 }
 
 /// The leader's reply to a renewal.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -150,13 +150,17 @@
     }
 
     fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
-        let update = self.feed.update(request.applied, &self.state.tables);
+        let tables = &self.state.tables;
+        let update = match request.packed {
+            true => self.feed.update(request.applied, tables),
+            false => self.feed.unpacked_update(request.applied, tables),
+        };
         let size = self.feed.update_size(request.applied, &update);
         self.update_stats.record(request.node, request.applied, &update, size);
         let index = match update {
             Update::Same => request.applied,
             Update::Deltas(_) => self.feed.last(),
-            Update::Full(_) => self.applied,
+            Update::Full(_) | Update::Packed { .. } => self.applied,
         };
         let loads = grants.iter().flat_map(|it| &it.shares).filter_map(|it| self.load_of(it));
         RenewReply {
--- a/crates/coord/src/control/update_stats.rs
+++ b/crates/coord/src/control/update_stats.rs
@@ -36,11 +36,11 @@
                 return;
             }
             Update::Deltas(deltas) => deltas.len() as u64,
-            Update::Full(_) => 0,
+            Update::Full(_) | Update::Packed { .. } => 0,
         };
         let repeated = self.sent_from.insert(node, from) == Some(from);
         self.counts.updates += 1;
-        self.counts.whole += u64::from(matches!(update, Update::Full(_)));
+        self.counts.whole += u64::from(!matches!(update, Update::Deltas(_)));
         self.counts.repeated += u64::from(repeated);
         self.counts.deltas += deltas;
         self.counts.bytes.0 += size.0;
--- a/crates/coord/src/ids/mod.rs
+++ b/crates/coord/src/ids/mod.rs
@@ -13,7 +13,7 @@
         StageName, TeamName,
     },
     number::{
-        AttemptId, Bytes, CatalogVersion, Fence, Generation, Incarnation, Index, NodeId, Rate,
-        Slots, SystemId, Term, Tokens, Version,
+        AttemptId, Bytes, CatalogDigest, CatalogVersion, Fence, Generation, Incarnation, Index,
+        NodeId, Rate, Slots, SystemId, Term, Tokens, Version,
     },
 };
--- a/crates/coord/src/ids/number.rs
+++ b/crates/coord/src/ids/number.rs
@@ -111,6 +111,10 @@
     /// A size in bytes.
     Bytes(u64)
 }
+number_type! {
+    /// A digest of the content of a catalog.
+    CatalogDigest(u64)
+}
 number_type! {
     /// The version of a catalog, set by its author. The highest takes effect.
     CatalogVersion(u64)
--- a/crates/coord/src/tables/state.rs
+++ b/crates/coord/src/tables/state.rs
@@ -3,9 +3,10 @@
 use {
     super::{Change, ChangeOutcome, Delta, Endpoint, History, Member, Tables},
     crate::{
-        catalog::Catalog,
+        catalog::{Catalog, CatalogDelta},
         claims::{Claim, ClaimError, ClaimOutcome, ClaimRequest, Claims, Settlement},
         ids::{ClaimKey, EndpointName, Fence, Generation, Incarnation, Index, NodeId},
+        packed::Packed,
         time::WallTime,
     },
     serde::{Deserialize, Serialize},
@@ -183,11 +184,15 @@
             return without_delta(Outcome::Done);
         }
         self.document = Some(document.clone());
-        self.apply_delta(Delta::Catalog(catalog.clone()), Outcome::Done)
+        let mut new = Catalog::clone(catalog);
+        new.sort();
+        let delta = CatalogDelta::between(&self.tables.catalog, &new);
+        self.tables.catalog = Arc::new(new);
+        Applied { outcome: Outcome::Done, delta: Some(Delta::CatalogEdit(Packed::new(&delta))) }
     }
 
     fn apply_delta(&mut self, delta: Delta, outcome: Outcome) -> Applied {
-        self.tables.apply(&delta);
+        self.tables.apply(&delta).expect("only deltas of the catalog can fail");
         Applied { outcome, delta: Some(delta) }
     }
 }
--- a/crates/coord/src/tables/tables.rs
+++ b/crates/coord/src/tables/tables.rs
@@ -3,8 +3,9 @@
 use {
     super::{Edit, EditError, Endpoint, EndpointState, Member, Pool, Route, Target, change::error},
     crate::{
-        catalog::Catalog,
+        catalog::{Catalog, CatalogDelta, CatalogDeltaError},
         ids::{DomainName, EndpointName, NodeId, PoolName, RouteName, Version},
+        packed::Packed,
     },
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
@@ -36,12 +37,17 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Delta {
-    Edits { version: Version, edits: Vec<Edit> },
+    Edits {
+        version: Version,
+        edits: Vec<Edit>,
+    },
     Endpoint(Endpoint),
     DropEndpoint(EndpointName),
     Member(Member),
     DropMember(NodeId),
+    /// The whole catalog, as earlier builds sent it.
     Catalog(Arc<Catalog>),
+    CatalogEdit(Packed<CatalogDelta>),
 }
 
 impl Tables {
@@ -63,9 +69,13 @@
 
     /// Applies a delta produced by another copy of the tables.
     ///
+    /// # Errors
+    /// The delta of the catalog can't be read or doesn't fit this copy. The tables are
+    /// unchanged.
+    ///
     /// # Panics
     /// The edits fail or lead to another version: the copies have diverged.
-    pub fn apply(&mut self, delta: &Delta) {
+    pub fn apply(&mut self, delta: &Delta) -> Result<(), CatalogDeltaError> {
         match delta {
             Delta::Edits { version, edits } => {
                 let applied = self.edit(edits);
@@ -87,7 +97,9 @@
                 self.roster.shift_remove(id);
             }
             Delta::Catalog(it) => self.catalog = it.clone(),
+            Delta::CatalogEdit(it) => self.catalog = Arc::new(it.open()?.apply(&self.catalog)?),
         }
+        Ok(())
     }
 
     /// Whether an endpoint may receive new requests.
--- a/crates/coord/tests/large_catalogs.rs
+++ b/crates/coord/tests/large_catalogs.rs
@@ -77,26 +77,26 @@
 }
 
 /// The size of the update of an instance that has applied everything up to an index.
-fn update_size(state: &State, feed: &Feed, applied: u64) -> Bytes {
+fn update_size(state: &State, feed: &mut Feed, applied: u64) -> Bytes {
     json_size(&feed.update(Index(applied), &state.tables))
 }
 
 #[test]
 fn the_update_after_a_change_of_one_route_does_not_grow_with_the_catalog() {
-    let (small_state, small_feed) = replicate(2, 1_000);
-    let (large_state, large_feed) = replicate(2, 20_000);
+    let (small_state, mut small_feed) = replicate(2, 1_000);
+    let (large_state, mut large_feed) = replicate(2, 20_000);
 
-    let small = update_size(&small_state, &small_feed, 1);
-    let large = update_size(&large_state, &large_feed, 1);
+    let small = update_size(&small_state, &mut small_feed, 1);
+    let large = update_size(&large_state, &mut large_feed, 1);
 
     assert!(large.0 < 2 * small.0, "{small} bytes at 1,000 routes, {large} at 20,000");
 }
 
 #[test]
 fn the_update_after_many_missed_changes_is_no_larger_than_the_whole_tables() {
-    let (state, feed) = replicate(40, 2_800);
+    let (state, mut feed) = replicate(40, 2_800);
 
-    let missed = update_size(&state, &feed, 1);
+    let missed = update_size(&state, &mut feed, 1);
 
     let whole = json_size(&state.tables);
     assert!(missed.0 <= whole.0, "{missed} bytes for 39 changes, the tables have {whole}");
--- a/crates/coord/tests/voter_cluster/mod.rs
+++ b/crates/coord/tests/voter_cluster/mod.rs
@@ -215,6 +215,7 @@
             healthy: Vec::new(),
             demand: Vec::new(),
             teams: Vec::new(),
+            packed: true,
             leaving: false,
         };
         let voter = self.voter(leader).expect("the leader runs");
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -293,6 +293,7 @@
             healthy: self.router.take_succeeded(),
             demand: self.router.demand(),
             teams: self.router.team_usage(),
+            packed: true,
             leaving,
         }
     }
@@ -303,6 +304,9 @@
         let loads = reply.loads.clone();
         self.router.set_team_totals(&reply.teams);
         let change = self.holder.apply_reply(now, sent_at, reply);
+        if let Some(reason) = &change.failure {
+            log::warn!(reason = reason.as_str(); "[lease] update not applied; asking for whole tables");
+        }
         if change.tables {
             let tables = self.holder.tables().clone();
             self.renewals.update_peers(&tables);
