Probe a voter that doesn't answer instead of sending it entries again

What callers saw: voters ended for their memory one after the other (256 MB), and changes were not in force in time meanwhile.

Cause: a leader that heard nothing from a voter for 300 ms took up again after the last entry known to be there, and sent up to 256 entries, of any size, each time. For a new leader that is the beginning of the log. Each message is encoded and queued whole; a voter that is slow since it has much to read got more to read.

Evidence: 283 entries (19.5 MB) counted as under way to a voter of which a new leader had heard nothing; 176 MB and 420 MB sent in 3 s in the tests of single steps.

Change: a follower that is new to the leader, or silent with entries under way, gets heartbeats without entries until it replies. Entries are sent by size: 1 MB in a message unless a single one is larger, 4 MB under way to one follower. A reply opens the way again, from where the follower says.

--- a/crates/coord/src/raft/log.rs
+++ b/crates/coord/src/raft/log.rs
@@ -97,15 +97,22 @@
         self.entries.get(offset as usize)
     }
 
-    /// At most `max` entries starting at `index`; empty if the entry at `index`
-    /// has been compacted.
-    pub fn entries_from(&self, index: Index, max: usize) -> &[Entry] {
+    /// At most `max` entries starting at `index`, of at most `max_size` unless the first
+    /// alone is larger; empty if the entry at `index` has been compacted.
+    pub fn entries_from(&self, index: Index, max: usize, max_size: Bytes) -> &[Entry] {
         let Some(offset) = index.0.checked_sub(self.first_index().0) else {
             return &[];
         };
         let start = (offset as usize).min(self.entries.len());
         let end = (start + max).min(self.entries.len());
-        &self.entries[start..end]
+        let mut left = max_size.0;
+        let fitting = self.sizes[start..end].iter().take_while(|it| {
+            let fits = it.0 <= left;
+            left = left.saturating_sub(it.0);
+            fits
+        });
+        let count = fitting.count().max(1).min(end - start);
+        &self.entries[start..start + count]
     }
 
     /// The size of the kept entries after one index, up to and including another.
--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -26,6 +26,11 @@
 const DRIFT_DIVISOR: u64 = 10;
 /// The maximum number of entries in one message.
 pub(super) const MAX_APPEND_ENTRIES: usize = 256;
+/// The size of the entries in one message beyond which no other is added: little enough
+/// that a heartbeat behind it isn't late.
+pub(super) const MAX_APPEND_SIZE: Bytes = Bytes(1 << 20);
+/// The size of the entries under way to one follower beyond which none are sent.
+pub(super) const MAX_UNACKNOWLEDGED: Bytes = Bytes(4 << 20);
 /// Entries kept before a snapshot, so that followers that lag only a little
 /// don't need the snapshot.
 const TRAILING_ENTRIES: u64 = 500;
@@ -246,8 +251,8 @@
     pub fn unacknowledged(&self) -> impl Iterator<Item = (NodeId, u64, Bytes)> + '_ {
         let rows = self.followers.iter().map(|(id, it)| {
             let last = it.next.prev();
-            let size = self.log.size_between(it.matched, last);
-            (*id, last.0.saturating_sub(it.matched.0), size)
+            let size = self.log.size_between(it.sent_after, last);
+            (*id, last.0.saturating_sub(it.sent_after.0), size)
         });
         rows.filter(|(_, count, _)| *count > 0)
     }
@@ -429,7 +434,7 @@
     /// Takes the entries that were committed since the last call.
     pub fn take_committed(&mut self) -> Vec<Entry> {
         let count = (self.commit_index.0 - self.delivered.0) as usize;
-        let entries = self.log.entries_from(self.delivered.next(), count).to_vec();
+        let entries = self.log.entries_from(self.delivered.next(), count, Bytes(u64::MAX)).to_vec();
         self.delivered = self.commit_index;
         entries
     }
--- a/crates/coord/src/raft/replication.rs
+++ b/crates/coord/src/raft/replication.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         ELECTION_TIMEOUT_MAX, Entry, HEARTBEAT_INTERVAL, LogOp, Message, Outgoing, Progress, Raft,
-        Role, Snapshot, raft::MAX_APPEND_ENTRIES,
+        Role, Snapshot,
+        raft::{MAX_APPEND_ENTRIES, MAX_APPEND_SIZE, MAX_UNACKNOWLEDGED},
     },
     crate::{
         ids::{Index, NodeId, Term},
@@ -49,12 +50,12 @@
         let acked = self.acked.iter().map(|(id, index)| (*id, *index)).collect();
         let progress = self.followers.get_mut(&to).expect("every follower has a progress entry");
         if heartbeat {
-            progress.rewind(now);
+            progress.check_silence(now);
         }
         let prev = progress.next.prev();
         let known = self.log.term(prev).filter(|_| progress.next >= self.log.first_index());
         let Some(prev_term) = known else {
-            if progress.try_start_snapshot(now) {
+            if progress.is_open() && progress.try_start_snapshot(now) {
                 let snapshot = self.log.snapshot.clone().expect("a compacted log has a snapshot");
                 let message = Message::Install { term: self.hard.term, snapshot, sent: now.0 };
                 self.ready.push(Outgoing { to, message });
@@ -72,7 +73,12 @@
             }
             return;
         };
-        let entries = self.log.entries_from(progress.next, MAX_APPEND_ENTRIES).to_vec();
+        let under_way = self.log.size_between(progress.sent_after, prev);
+        let entries = match progress.is_open() && under_way < MAX_UNACKNOWLEDGED {
+            true => self.log.entries_from(progress.next, MAX_APPEND_ENTRIES, MAX_APPEND_SIZE),
+            false => &[],
+        };
+        let entries = entries.to_vec();
         if entries.is_empty() && !heartbeat {
             return;
         }
--- a/crates/coord/tests/catalog_delta.rs
+++ b/crates/coord/tests/catalog_delta.rs
@@ -110,7 +110,7 @@
     for seed in 0..SEEDS {
         let mut rng = StdRng::seed_from_u64(seed);
         let [mut old, mut new, mut other] = [1, 2, 1].map(|it| random_catalog(it, &mut rng));
-        [&mut old, &mut new, &mut other].map(Catalog::sort);
+        [&mut old, &mut new, &mut other].into_iter().for_each(Catalog::sort);
 
         let delta = CatalogDelta::between(&old, &new);
 
