Log a catalog that is sent again once

Seen while the same cause was looked for elsewhere: an operator that gets no answer within a second sends the same catalog again, to any instance, while earlier calls are still retried for up to 5 s. Each of them became an entry of 1.4 MB, although the state machine then does nothing with it.

Change: a leader with a lease answers at once for a version that it has applied, and a proposal of a document that already waits for agreement waits with it.

Both new tests (a_catalog_that_is_sent_again_...) failed before: eight entries for eight sends, and one more entry for each resend.

--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -7,7 +7,7 @@
         UpdateStats,
     },
     crate::{
-        ids::{Bytes, Index, NodeId, Slots, Term, Version},
+        ids::{Bytes, CatalogVersion, Index, NodeId, Slots, Term, Version},
         raft::{
             Config, Entry, Message, Payload, ProposeError, Raft, RestoredState, Role, Snapshot,
         },
@@ -74,7 +74,8 @@
     pub(super) snapshot_index: Index,
     pub(super) feed: Feed,
     pub(super) update_stats: UpdateStats,
-    pub(super) pending: IndexMap<Index, (Term, Token)>,
+    /// Who waits for the outcome of an entry, and the term in which it was proposed.
+    pub(super) pending: IndexMap<Index, (Term, Vec<Token>)>,
     pub(super) renewals: IndexMap<NodeId, Renewal>,
     /// The revision of the shares and the last delta when delayed renewals were last
     /// answered.
@@ -192,9 +193,20 @@
             self.completions.push(Completion::Proposal(token, Err(ProposalError::Busy)));
             return;
         }
+        if let Command::Catalog { catalog, document } = &command {
+            let has_lease = self.raft.lease().is_some_and(|it| it > now);
+            if has_lease && self.has_committed_catalog(catalog.version) {
+                self.completions.push(Completion::Proposal(token, Ok(Outcome::Done)));
+                return;
+            }
+            if let Some(index) = self.find_pending_catalog(document) {
+                self.pending[&index].1.push(token);
+                return;
+            }
+        }
         match self.raft.propose(command) {
             Ok((term, index)) => {
-                self.pending.insert(index, (term, token));
+                self.pending.insert(index, (term, vec![token]));
             }
             Err(_) => {
                 let leader = self.leader_addr();
@@ -205,6 +217,22 @@
         self.raft.tick(now);
     }
 
+    /// Whether the catalog of this version, or a later one, is committed. Only a leader
+    /// with a lease knows that none is missing here.
+    fn has_committed_catalog(&self, version: CatalogVersion) -> bool {
+        self.raft.has_committed_in_term() && version <= self.state.tables.catalog.version
+    }
+
+    /// Returns the entry of the log that waits to be committed with the same catalog, so
+    /// that one that is sent again and again isn't logged as often.
+    fn find_pending_catalog(&self, document: &str) -> Option<Index> {
+        let is_same = |index: &Index| {
+            let payload = self.raft.entry(*index).map(|it| &it.payload);
+            matches!(payload, Some(Payload::Command(Command::Catalog { document: it, .. })) if **it == *document)
+        };
+        self.pending.keys().copied().find(is_same)
+    }
+
     /// Adds an instance with a disk as a learner, which is promoted to voter once
     /// it has caught up.
     ///
@@ -381,9 +409,10 @@
                 self.feed.push(entry.index, delta);
             }
         }
-        if let Some((term, token)) = self.pending.shift_remove(&entry.index) {
+        if let Some((term, tokens)) = self.pending.shift_remove(&entry.index) {
             let result = if term == entry.term { Ok(outcome) } else { Err(ProposalError::Lost) };
-            self.completions.push(Completion::Proposal(token, result));
+            let done = tokens.into_iter().map(|it| Completion::Proposal(it, result.clone()));
+            self.completions.extend(done);
         }
         changed
     }
@@ -408,9 +437,9 @@
 
     /// Fails all pending proposals and renewals after the loss of leadership.
     fn fail_pending(&mut self) {
-        for (_, (_, token)) in std::mem::take(&mut self.pending) {
-            self.completions.push(Completion::Proposal(token, Err(ProposalError::Lost)));
-        }
+        let tokens = std::mem::take(&mut self.pending).into_values().flat_map(|(_, it)| it);
+        let lost = tokens.map(|it| Completion::Proposal(it, Err(ProposalError::Lost)));
+        self.completions.extend(lost);
         let leader = self.leader_addr();
         for (_, it) in std::mem::take(&mut self.renewals) {
             let err = RenewError::NotLeader { leader };
--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -224,6 +224,11 @@
         self.log.last_index()
     }
 
+    /// The entry at an index, if it is kept in memory.
+    pub fn entry(&self, index: Index) -> Option<&Entry> {
+        self.log.get(index)
+    }
+
     /// The last durable index of the log.
     pub fn durable_index(&self) -> Index {
         self.durable_index
--- a/crates/coord/tests/large_catalogs.rs
+++ b/crates/coord/tests/large_catalogs.rs
@@ -5,11 +5,11 @@
         catalog::{
             Catalog, CatalogLimits, ColdBound, RelayRoute, RetryPolicy, Service, Split, TeamEntry,
         },
-        control::{Feed, Token, Voter},
+        control::{Completion, Feed, Token, Voter},
         ids::{Bytes, CatalogVersion, Index, NodeId, PoolName},
         raft::{Config, RestoredState},
         size::json_size,
-        tables::{Command, State},
+        tables::{Command, Outcome, State},
         time::{Millis, Time},
     },
     std::sync::Arc,
@@ -81,6 +81,27 @@
     json_size(&feed.update(Index(applied), &state.tables))
 }
 
+/// Makes all writes of a voter durable.
+fn sync(voter: &mut Voter, now: Time) {
+    while let Some(batch) = voter.raft_mut().take_batch() {
+        voter.synced(now, batch.last);
+    }
+}
+
+/// A voter that leads, as the only one of its system.
+fn sole_voter() -> (Voter, Time) {
+    let (id, addr) = (NodeId(1), "127.0.0.1:1".parse().expect("an address"));
+    let mut now = Time(1);
+    let mut voter = Voter::new(id, RestoredState::default(), now, 1);
+    voter.raft_mut().bootstrap(Config::single(id, addr));
+    while !voter.raft().has_committed_in_term() {
+        now = now + Millis(10);
+        voter.tick(now);
+        sync(&mut voter, now);
+    }
+    (voter, now)
+}
+
 #[test]
 fn the_update_after_a_change_of_one_route_does_not_grow_with_the_catalog() {
     let (small_state, mut small_feed) = replicate(2, 1_000);
@@ -104,20 +125,7 @@
 
 #[test]
 fn a_voter_bounds_the_log_that_it_keeps_in_bytes() {
-    let (id, addr) = (NodeId(1), "127.0.0.1:1".parse().expect("an address"));
-    let mut now = Time(1);
-    let mut voter = Voter::new(id, RestoredState::default(), now, 1);
-    voter.raft_mut().bootstrap(Config::single(id, addr));
-    let sync = |voter: &mut Voter, now| {
-        while let Some(batch) = voter.raft_mut().take_batch() {
-            voter.synced(now, batch.last);
-        }
-    };
-    while !voter.raft().has_committed_in_term() {
-        now = now + Millis(10);
-        voter.tick(now);
-        sync(&mut voter, now);
-    }
+    let (mut voter, mut now) = sole_voter();
 
     for version in 1..=60 {
         now = now + Millis(10);
@@ -129,3 +137,43 @@
     let kept = voter.raft().kept_size();
     assert!(kept.0 <= 16 << 20, "the log has {kept} bytes in memory");
 }
+
+#[test]
+fn a_catalog_that_is_sent_again_adds_nothing_to_the_log() {
+    let (mut voter, now) = sole_voter();
+    voter.propose(now, Token(1), command(catalog(2, 2_800)));
+    sync(&mut voter, now);
+    voter.take_completions();
+    let last = voter.raft().last_index();
+
+    voter.propose(now, Token(2), command(catalog(2, 2_800)));
+    voter.propose(now, Token(3), command(catalog(1, 2_800)));
+
+    let done: Vec<Token> = voter
+        .take_completions()
+        .into_iter()
+        .map(|it| match it {
+            Completion::Proposal(token, Ok(Outcome::Done)) => token,
+            other => panic!("not acknowledged: {other:?}"),
+        })
+        .collect();
+    assert_eq!(done, [Token(2), Token(3)]);
+    assert_eq!(voter.raft().last_index(), last);
+}
+
+#[test]
+fn a_catalog_that_is_sent_again_before_agreement_is_logged_once() {
+    let (mut voter, now) = sole_voter();
+    let last = voter.raft().last_index();
+    let same = command(catalog(2, 2_800));
+
+    for token in 1..=8 {
+        voter.propose(now, Token(token), same.clone());
+    }
+
+    assert_eq!(voter.raft().last_index(), last.next());
+    sync(&mut voter, now);
+    let done = voter.take_completions();
+    assert_eq!(done.len(), 8, "each of those who sent it is answered");
+    assert!(done.iter().all(|it| matches!(it, Completion::Proposal(_, Ok(Outcome::Done)))));
+}
