Log the shared parts of a prompt whose answer broke off

Of the prompts that crash endpoints the logs showed neither the parts nor whether a head had come. The lines of an answer that broke off and of a lost attempt now name the parts (all but the last, which is the request's own), the latter also whether anything was sent. An answer that broke off had its head. No decision changes.

--- a/crates/coord/src/ids/mod.rs
+++ b/crates/coord/src/ids/mod.rs
@@ -9,8 +9,8 @@
     class::{Class, ClassError},
     key::{ChangeId, ClaimKey, RequestId, UuidError},
     name::{
-        DomainName, EndpointName, InstanceName, MAX_NAME_BYTES, NameError, PoolName, RouteName,
-        StageName, TeamName,
+        DomainName, EndpointName, InstanceName, MAX_NAME_BYTES, NameError, PoolName, PromptPart,
+        RouteName, StageName, TeamName,
     },
     number::{
         AttemptId, Bytes, CatalogDigest, CatalogVersion, Fence, Generation, Incarnation, Index,
--- a/crates/coord/src/ids/name.rs
+++ b/crates/coord/src/ids/name.rs
@@ -87,6 +87,10 @@
     /// The name of a pool.
     PoolName
 }
+name_type! {
+    /// The id of a part of a prompt, as callers state it.
+    PromptPart
+}
 name_type! {
     /// The name of a route.
     RouteName
--- a/crates/coord/src/prelude.rs
+++ b/crates/coord/src/prelude.rs
@@ -4,8 +4,8 @@
     catalog::Catalog,
     ids::{
         AttemptId, Bytes, CatalogVersion, ChangeId, ClaimKey, Class, DomainName, EndpointName,
-        Fence, Generation, Incarnation, Index, InstanceName, NodeId, PoolName, Rate, RequestId,
-        RouteName, Slots, StageName, SystemId, TeamName, Term, Tokens, Version,
+        Fence, Generation, Incarnation, Index, InstanceName, NodeId, PoolName, PromptPart, Rate,
+        RequestId, RouteName, Slots, StageName, SystemId, TeamName, Term, Tokens, Version,
     },
     tables::{Endpoint, EndpointState, Pool, PoolKind, Route, Stage, Tables, Target},
     time::{Millis, Time, WallTime},
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -5,7 +5,7 @@
     super::{
         HeaderNames,
         body_check::BodyCheck,
-        record::RequestRecord,
+        record::{RequestRecord, join_parts},
         relay::{InFlightGuard, Relay},
         request::{RelayRequest, connection_options},
         response::{Denial, RelayResponse, deny, full_body, is_hop_by_hop, stream_body},
@@ -127,6 +127,7 @@
                     };
                     log::info!(
                         request = self.request.id.as_str(), endpoint = endpoint.name.as_str(),
+                        sent = !err.is_unsent(), parts = join_parts(&self.request.parts),
                         error:% = err;
                         "[relay] attempt lost"
                     );
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -3,6 +3,7 @@
 use {
     super::{drain_state::RequestGuard, framing::Framing, request::RelayRequest},
     crate::telemetry::SeriesBound,
+    coord::ids::PromptPart,
     metrics::{counter, histogram},
     std::{cell::RefCell, fmt::Display, rc::Rc, time::Instant},
 };
@@ -27,6 +28,8 @@
 /// record means that the caller disconnected.
 pub struct RequestRecord {
     request: String,
+    /// The shared parts of the prompt, comma-separated.
+    parts: String,
     route: String,
     team: String,
     pool: String,
@@ -56,6 +59,7 @@
         let team = request.team.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string);
         Self {
             request: request.id.clone(),
+            parts: join_parts(&request.parts),
             route: request.route.name.to_string(),
             team,
             pool: request.pool.to_string(),
@@ -101,7 +105,8 @@
     pub fn log_error(&self, err: &impl Display) {
         log::info!(
             request = self.request.as_str(), endpoint = self.endpoint.as_deref().unwrap_or("none"),
-            bytes = self.bytes, framing = self.framing_name(), error:% = err;
+            bytes = self.bytes, framing = self.framing_name(), parts = self.parts.as_str(),
+            error:% = err;
             "[relay] answer broke off"
         );
     }
@@ -138,6 +143,11 @@
     }
 }
 
+/// Joins the ids of prompt parts for a log line.
+pub fn join_parts(parts: &[PromptPart]) -> String {
+    parts.iter().map(PromptPart::as_str).collect::<Vec<_>>().join(",")
+}
+
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         self.finish("caller_left");
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -9,7 +9,7 @@
     },
     coord::{
         catalog::{ApiKey, RelayRoute},
-        ids::{DomainName, PoolName, TeamName},
+        ids::{DomainName, PoolName, PromptPart, TeamName},
         relay::preferred_domain,
         tables::Endpoint,
         time::Millis,
@@ -28,6 +28,9 @@
 /// can still reach the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(5);
 
+/// Maximum number of shared prompt parts that are looked at.
+const MAX_PARTS: usize = 16;
+
 /// A valid request with its route.
 pub struct RelayRequest {
     /// Id of the caller's attempt.
@@ -43,6 +46,8 @@
     pub target: Instant,
     /// When the caller must have its final response.
     pub deadline: Instant,
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub parts: Vec<PromptPart>,
     /// Key shared by requests that have a cached prompt prefix in common.
     pub affinity: Option<Vec<u8>>,
     /// The preferred failure domain of its stages and then of the request.
@@ -90,6 +95,7 @@
             received,
             target: received + Duration::from_millis(route.latency_target.0),
             deadline: received + Duration::from_millis(timeout.min(route.timeout).0),
+            parts: shared_parts(&head, names),
             affinity,
             preferred_domain,
             piece_counts,
@@ -197,6 +203,17 @@
     counts.ok().filter(|it| it.len() == stages).ok_or(Denial::Malformed)
 }
 
+/// Returns the ids of the prompt's parts without the last. Only the first
+/// [`MAX_PARTS`] are looked at, and ids that can't be read are left out.
+fn shared_parts(head: &Parts, names: &HeaderNames) -> Vec<PromptPart> {
+    let list = header_text(head, &names.parts).unwrap_or_default();
+    let Some((shared, _)) = list.rsplit_once(',') else {
+        return Vec::new();
+    };
+    let ids = shared.split(',').take(MAX_PARTS).map(|it| it.split(':').next().unwrap_or(it));
+    ids.filter_map(|it| it.trim().parse().ok()).collect()
+}
+
 /// Returns the list of prompt parts without the last, which is specific to the
 /// request.
 fn affinity(head: &Parts, names: &HeaderNames) -> Option<Vec<u8>> {
