--- /dev/null
+++ b/crates/standin/src/crashing.rs
@@ -0,0 +1,192 @@
+//! An endpoint that crashes when it begins to answer a prompt with a certain part, and
+//! comes back some time later.
+
+use {
+    crate::{ReceivedRequest, header},
+    std::{
+        io::{Read, Write},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+        sync::{Arc, Mutex, MutexGuard},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Interval at which a listener looks for connections and crashes.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How an endpoint behaves.
+#[derive(Debug, Clone)]
+pub struct CrashSpec {
+    /// The id of the part of a prompt that crashes it.
+    pub deadly_part: String,
+    /// The time from a request to the head of its answer.
+    pub prefill: Duration,
+    /// The time from the head to the first event, at which it crashes or goes on.
+    pub begin: Duration,
+    /// How long it is down.
+    pub down: Duration,
+}
+
+/// A request that has arrived.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+    pub deadly: bool,
+}
+
+/// A running endpoint.
+pub struct CrashingEndpoint {
+    pub addr: SocketAddr,
+    state: Arc<State>,
+}
+
+struct State {
+    spec: CrashSpec,
+    /// Open connections; closed at a crash.
+    open: Mutex<Vec<TcpStream>>,
+    /// When the endpoint is up again after a crash.
+    down_until: Mutex<Option<Instant>>,
+    crashes: Mutex<Vec<Instant>>,
+    arrivals: Mutex<Vec<Arrival>>,
+}
+
+impl CrashingEndpoint {
+    /// Starts an endpoint on a free loopback port.
+    pub fn start(spec: CrashSpec) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
+        let addr = listener.local_addr().expect("a bound listener has an address");
+        let state = Arc::new(State {
+            spec,
+            open: Mutex::default(),
+            down_until: Mutex::default(),
+            crashes: Mutex::default(),
+            arrivals: Mutex::default(),
+        });
+        let shared = state.clone();
+        thread::spawn(move || shared.listen(listener, addr));
+        Self { addr, state }
+    }
+
+    /// The times of its crashes.
+    pub fn crashes(&self) -> Vec<Instant> {
+        lock(&self.state.crashes).clone()
+    }
+
+    /// The requests that have arrived.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.state.arrivals).clone()
+    }
+
+    /// Whether it accepts connections.
+    pub fn is_up(&self) -> bool {
+        lock(&self.state.down_until).is_none()
+    }
+
+    /// Crashes it now, whatever it serves.
+    pub fn crash(&self) {
+        self.state.crash();
+    }
+}
+
+impl State {
+    fn listen(self: Arc<Self>, mut listener: TcpListener, addr: SocketAddr) {
+        loop {
+            listener.set_nonblocking(true).expect("a listener can be non-blocking");
+            while lock(&self.down_until).is_none() {
+                match listener.accept() {
+                    Ok((stream, _)) => self.clone().start_connection(stream),
+                    Err(_) => thread::sleep(POLL_INTERVAL),
+                }
+            }
+            drop(listener);
+            thread::sleep(self.spec.down);
+            listener = loop {
+                match TcpListener::bind(addr) {
+                    Ok(it) => break it,
+                    Err(_) => thread::sleep(POLL_INTERVAL),
+                }
+            };
+            *lock(&self.down_until) = None;
+        }
+    }
+
+    fn start_connection(self: Arc<Self>, stream: TcpStream) {
+        let Ok(kept) = stream.try_clone() else {
+            return;
+        };
+        stream.set_nonblocking(false).expect("a connection can be blocking");
+        lock(&self.open).push(kept);
+        thread::spawn(move || self.serve(stream));
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        while let Some(request) = read_request(&mut stream) {
+            let parts = request.header("mangobend-parts").unwrap_or_default();
+            let mut ids = parts.split(',').map(|it| it.split(':').next().unwrap_or(it));
+            let deadly = ids.any(|it| it == self.spec.deadly_part);
+            lock(&self.arrivals).push(Arrival { at: request.at, deadly });
+            thread::sleep(self.spec.prefill);
+            let id = request.header("mangobend-request").unwrap_or_default();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nmangobend-request: {id}\r\nmangobend-signature: s\r\n\
+                 content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+            );
+            if stream.write_all(head.as_bytes()).is_err() {
+                return;
+            }
+            thread::sleep(self.spec.begin);
+            if deadly {
+                self.crash();
+                return;
+            }
+            let event = "id: 1\ndata: one\n\n";
+            let body = format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len());
+            if stream.write_all(body.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn crash(&self) {
+        let now = Instant::now();
+        let mut down_until = lock(&self.down_until);
+        if down_until.is_some() {
+            return;
+        }
+        *down_until = Some(now + self.spec.down);
+        lock(&self.crashes).push(now);
+        for stream in lock(&self.open).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Reads the next request of a connection.
+fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
+            break at + 4;
+        }
+        match stream.read(&mut buffer) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&buffer[..count]),
+            _ => return None,
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let length = header(&head, "content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+    let mut body = bytes.split_off(end);
+    while body.len() < length {
+        match stream.read(&mut buffer) {
+            Ok(count) if count > 0 => body.extend_from_slice(&buffer[..count]),
+            _ => return None,
+        }
+    }
+    Some(ReceivedRequest { connection: 0, head, body, at: Instant::now() })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("lock poisoned")
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod control;
+mod crashing;
 mod endpoint;
 mod framed_answer;
 mod record;
@@ -13,6 +14,7 @@
 
 pub use {
     control::Control,
+    crashing::{Arrival, CrashSpec, CrashingEndpoint},
     framed_answer::{AnswerEnd, AnswerFraming, FramedAnswer, signed_response},
     record::{Record, RunRecord},
     scripted::{ReceivedRequest, Script, ScriptedEndpoint, Step, header},
