Withhold a part of prompts that crashes endpoints, by all instances together

Cause: a crash was a failure of the endpoint alone. Nothing remembered what it had been working on, so the next such request went to the next endpoint, from whichever instance it had reached.

Change: an instance whose attempt ends without a byte of its answer checks whether the endpoint still accepts connections. If not, it reports the shared parts of the prompt (not the last) with its next renewal, at once. The leader counts the moments at which endpoints crashed under each part (coord::control::PartEvidence), tells all instances its suspects, and they report which of these are answered. A part with four such moments and no answer, in a pool that answers others, is withheld: agreed on through the log, so that it holds everywhere and across changes of leader, for 10 minutes. Requests with it are refused at once with 503 and a Retry-After of a minute, before their stages and before each send; they have not run. Crashes that a withheld part explains count against no other part.

Why it keeps sound requests: parts that are answered meanwhile are cleared; crashes within 200 ms are one moment (a rack that fails); crashes elsewhere, cut or spoiled answers of endpoints that still listen, and pools that answer nothing don't count.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -6,7 +6,7 @@
     crate::{
         ids::NodeId,
         raft::HEARTBEAT_INTERVAL,
-        tables::Command,
+        tables::{Command, PartKey},
         time::{Millis, Time},
     },
     std::net::SocketAddr,
@@ -31,6 +31,11 @@
 const MIN_VOTERS: usize = 5;
 /// The interval between two searches for a learner that has caught up.
 const PROMOTION_INTERVAL: Millis = Millis(200);
+/// How long a part of prompts is withheld: long enough that its callers have given up, so
+/// that a part that goes on to crash endpoints costs few of them an hour.
+const WITHHOLD_TIME: Millis = Millis(600_000);
+/// How long a proposal to withhold a part may take before it is made again.
+const PROPOSAL_RETRY: Millis = Millis(1000);
 
 impl Voter {
     /// How long requests may run on after the lease of their sender has expired:
@@ -78,6 +83,31 @@
             .collect()
     }
 
+    /// Proposes to withhold a part of prompts under which endpoints crash, and to release
+    /// those that were withheld for long.
+    pub(super) fn judge_parts(&mut self, now: Time) {
+        self.parts.tick(now);
+        let withheld = &self.state.tables.withheld_parts;
+        self.withheld_since
+            .retain(|key, since| withheld.contains(key) || now.since(*since) < PROPOSAL_RETRY);
+        for key in withheld {
+            self.withheld_since.entry(key.clone()).or_insert(now);
+        }
+        let is_over = |(key, since): (&PartKey, &Time)| {
+            (withheld.contains(key) && now.since(*since) >= WITHHOLD_TIME).then(|| key.clone())
+        };
+        if let Some(key) = self.withheld_since.iter().find_map(is_over) {
+            self.withheld_since.insert(key.clone(), now);
+            let _ = self.raft.propose(Command::ReleasePart(key));
+            return;
+        }
+        let verdict = self.parts.verdict(now, withheld);
+        if let Some(key) = verdict.filter(|it| !self.withheld_since.contains_key(it)) {
+            self.withheld_since.insert(key.clone(), now);
+            let _ = self.raft.propose(Command::WithholdPart(key));
+        }
+    }
+
     /// Proposes to drop endpoints without reports and instances without a lease.
     pub(super) fn propose_cleanup(&mut self, now: Time) {
         if now.since(self.last_cleanup) < CLEANUP_INTERVAL {
--- a/crates/coord/src/control/feed.rs
+++ b/crates/coord/src/control/feed.rs
@@ -89,17 +89,22 @@
         self.deltas_from(start)
     }
 
-    /// As [`Self::update`], for an instance of an earlier build, which doesn't read
-    /// packed values.
+    /// As [`Self::update`], for an instance of an earlier build, which reads neither packed
+    /// values nor deltas of withheld parts.
     pub fn unpacked_update(&self, applied: Index, tables: &Tables) -> Update {
         if self.is_current(applied) {
             return Update::Same;
         }
         let start = self.start_after(applied);
-        let is_packed = |it: &Row| matches!(it.delta, Delta::CatalogEdit(_));
+        let is_new = |it: &Row| {
+            matches!(
+                it.delta,
+                Delta::CatalogEdit(_) | Delta::WithholdPart(_) | Delta::ReleasePart(_)
+            )
+        };
         let whole = self.rows.len() - start > MAX_UPDATE_DELTAS
             || !self.reaches(applied)
-            || self.rows.range(start..).any(is_packed);
+            || self.rows.range(start..).any(is_new);
         match whole {
             true => Update::Full(Box::new(tables.clone())),
             false => self.deltas_from(start),
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod guard;
 mod holder;
 mod leases;
+mod part_evidence;
 mod renew;
 mod renewals;
 mod shares;
@@ -26,6 +27,7 @@
     guard::PeerGuard,
     holder::{HolderChange, LeaseHolder},
     leases::{LEASE_DURATION, LEASE_MARGIN, LeaseRow, LeaseTable},
+    part_evidence::{CrashReport, PartEvidence},
     renew::{
         Demand, EndpointFault, EndpointReport, FaultKind, Grants, Holding, LONG_POLL, RenewError,
         RenewReply, RenewRequest, TeamUse, Update,
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -3,6 +3,7 @@
 //! shares. While the leader has nothing new it delays the reply (long polling).
 
 use {
+    super::CrashReport,
     crate::{
         catalog::Catalog,
         ids::{
@@ -10,7 +11,7 @@
             Version,
         },
         packed::Packed,
-        tables::{Delta, Tables},
+        tables::{Delta, PartKey, Tables},
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -51,6 +52,12 @@
     pub demand: Vec<Demand>,
     /// The teams with requests in flight here.
     pub teams: Vec<TeamUse>,
+    /// Requests without a byte of an answer that ended at crashes of endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashReport>,
+    /// Suspects that an endpoint has begun to answer here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub answered: Vec<PartKey>,
     /// Whether the instance reads packed updates; earlier builds don't.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub packed: bool,
@@ -152,6 +159,10 @@
     pub teams: Vec<TeamUse>,
     /// Whether the next request should have all shares held.
     pub want_holdings: bool,
+    /// The parts of prompts under which endpoints have crashed. The next requests should
+    /// name those that are answered all the same.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<PartKey>,
 }
 
 /// The reason for which a renewal is refused.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -44,6 +44,12 @@
         self.shares.confirm(holder, request.grants_number, &request.excess);
         self.shares.set_demand(holder, &request.demand);
         self.teams.report(holder, &request.teams);
+        for it in &request.crashes {
+            self.parts.record_crash(now, it);
+        }
+        for it in &request.answered {
+            self.parts.record_answer(now, it);
+        }
         for it in &request.reports {
             self.endpoints.record_report(it, now);
         }
@@ -72,13 +78,13 @@
     }
 
     /// Ends the lease of an instance that is stopping.
-    pub(super) fn release_lease(&mut self, token: Token, request: &RenewRequest) {
+    pub(super) fn release_lease(&mut self, now: Time, token: Token, request: &RenewRequest) {
         self.leases.remove(request.node);
         if let Some(old) = self.renewals.shift_remove(&request.node) {
             self.completions
                 .push(Completion::Renewal(old.token, Box::new(Err(RenewError::Superseded))));
         }
-        let reply = self.reply(request, None);
+        let reply = self.reply(now, request, None);
         self.completions.push(Completion::Renewal(
             token,
             Box::new(Ok(RenewReply { lease: Millis(0), ..reply })),
@@ -145,11 +151,11 @@
             version: it.request.version,
         };
         self.leases.grant(now, node, row);
-        let reply = self.reply(&it.request, grants);
+        let reply = self.reply(now, &it.request, grants);
         self.completions.push(Completion::Renewal(it.token, Box::new(Ok(reply))));
     }
 
-    fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
+    fn reply(&mut self, now: Time, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
         let tables = &self.state.tables;
         let update = match request.packed {
             true => self.feed.update(request.applied, tables),
@@ -173,6 +179,7 @@
             teams: self.teams.totals(&request.teams),
             grants,
             want_holdings: !self.shares.contains(holder_of(request)),
+            suspects: self.parts.suspects(now, &self.state.tables.withheld_parts),
         }
     }
 
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -2,16 +2,16 @@
 
 use {
     super::{
-        EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable, MemberStatus, RenewError,
-        RenewReply, RenewRequest, ShareHolder, ShareTable, Status, TeamTable, UpdateCounts,
-        UpdateStats,
+        EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable, MemberStatus, PartEvidence,
+        RenewError, RenewReply, RenewRequest, ShareHolder, ShareTable, Status, TeamTable,
+        UpdateCounts, UpdateStats,
     },
     crate::{
         ids::{Bytes, CatalogVersion, Index, NodeId, Slots, Term, Version},
         raft::{
             Config, Entry, Message, Payload, ProposeError, Raft, RestoredState, Role, Snapshot,
         },
-        tables::{Command, Outcome, State},
+        tables::{Command, Outcome, PartKey, State},
         time::Time,
     },
     indexmap::IndexMap,
@@ -84,6 +84,9 @@
     pub(super) shares: ShareTable,
     pub(super) teams: TeamTable,
     pub(super) endpoints: EndpointTable,
+    pub(super) parts: PartEvidence,
+    /// When this leader first saw each withheld part, or proposed to withhold it.
+    pub(super) withheld_since: IndexMap<PartKey, Time>,
     /// When the leases of registered holders were found to have expired.
     pub(super) lease_ends: IndexMap<ShareHolder, Time>,
     /// The term in which this voter leads.
@@ -116,6 +119,8 @@
             shares: ShareTable::default(),
             teams: TeamTable::default(),
             endpoints: EndpointTable::default(),
+            parts: PartEvidence::default(),
+            withheld_since: IndexMap::new(),
             lease_ends: IndexMap::new(),
             leading_term: None,
             last_cleanup: now,
@@ -182,6 +187,7 @@
         }
         self.expire_holders(now);
         self.allocate(now);
+        self.judge_parts(now);
         self.propose_cleanup(now);
         self.promote(now);
         self.answer_renewals(now);
@@ -275,7 +281,7 @@
         }
         self.record_request(now, &request);
         if request.leaving {
-            self.release_lease(token, &request);
+            self.release_lease(now, token, &request);
             return;
         }
         self.allocate(now);
@@ -428,6 +434,8 @@
         self.shares = ShareTable::default();
         self.teams = TeamTable::default();
         self.lease_ends.clear();
+        self.parts = PartEvidence::default();
+        self.withheld_since.clear();
         self.endpoints = EndpointTable::default();
         self.endpoints.reload(&self.state.tables, now);
         if leads.is_none() {
--- a/crates/coord/src/tables/mod.rs
+++ b/crates/coord/src/tables/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod history;
 mod member;
+mod part_key;
 mod pool;
 mod route;
 mod state;
@@ -16,6 +17,7 @@
     endpoint::{Endpoint, EndpointState},
     history::{ChangeRecord, History, MAX_RECORDS},
     member::Member,
+    part_key::PartKey,
     pool::{Pool, PoolKind},
     route::{MAX_DEADLINE, MAX_STAGES, Route, RouteError, Stage},
     state::{Applied, Command, Outcome, State},
--- a/crates/coord/src/tables/state.rs
+++ b/crates/coord/src/tables/state.rs
@@ -1,7 +1,7 @@
 //! The replicated state machine.
 
 use {
-    super::{Change, ChangeOutcome, Delta, Endpoint, History, Member, Tables},
+    super::{Change, ChangeOutcome, Delta, Endpoint, History, Member, PartKey, Tables},
     crate::{
         catalog::{Catalog, CatalogDelta},
         claims::{Claim, ClaimError, ClaimOutcome, ClaimRequest, Claims, Settlement},
@@ -52,8 +52,14 @@
         catalog: Arc<Catalog>,
         document: Arc<str>,
     },
+    /// Refuses requests with a part of prompts that crashes endpoints.
+    WithholdPart(PartKey),
+    ReleasePart(PartKey),
 }
 
+/// The most parts of prompts that are withheld at a time.
+const MAX_WITHHELD_PARTS: usize = 256;
+
 /// The outcome of a command, for its proposer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -110,6 +116,8 @@
                 without_delta(Outcome::Claim(self.claims.resolve(*key, settlement, author)))
             }
             Command::Catalog { catalog, document } => self.apply_catalog(catalog, document),
+            Command::WithholdPart(key) => self.withhold_part(key),
+            Command::ReleasePart(key) => self.release_part(key),
         }
     }
 
@@ -191,6 +199,21 @@
         Applied { outcome: Outcome::Done, delta: Some(Delta::CatalogEdit(Packed::new(&delta))) }
     }
 
+    fn withhold_part(&mut self, key: &PartKey) -> Applied {
+        let withheld = &self.tables.withheld_parts;
+        match withheld.contains(key) || withheld.len() >= MAX_WITHHELD_PARTS {
+            true => without_delta(Outcome::Stale),
+            false => self.apply_delta(Delta::WithholdPart(key.clone()), Outcome::Done),
+        }
+    }
+
+    fn release_part(&mut self, key: &PartKey) -> Applied {
+        match self.tables.withheld_parts.contains(key) {
+            true => self.apply_delta(Delta::ReleasePart(key.clone()), Outcome::Done),
+            false => without_delta(Outcome::Stale),
+        }
+    }
+
     fn apply_delta(&mut self, delta: Delta, outcome: Outcome) -> Applied {
         self.tables.apply(&delta).expect("only deltas of the catalog can fail");
         Applied { outcome, delta: Some(delta) }
--- a/crates/coord/src/tables/tables.rs
+++ b/crates/coord/src/tables/tables.rs
@@ -1,7 +1,10 @@
 //! The tables that are replicated to every instance.
 
 use {
-    super::{Edit, EditError, Endpoint, EndpointState, Member, Pool, Route, Target, change::error},
+    super::{
+        Edit, EditError, Endpoint, EndpointState, Member, PartKey, Pool, Route, Target,
+        change::error,
+    },
     crate::{
         catalog::{Catalog, CatalogDelta, CatalogDeltaError},
         ids::{DomainName, EndpointName, NodeId, PoolName, RouteName, Version},
@@ -31,6 +34,9 @@
     /// accepted.
     #[serde(default)]
     pub catalog: Arc<Catalog>,
+    /// The parts of prompts that crash endpoints. Requests with one of them are refused.
+    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
+    pub withheld_parts: IndexSet<PartKey>,
 }
 
 /// An incremental change of the tables, sent to the instances' copies.
@@ -48,6 +54,8 @@
     /// The whole catalog, as earlier builds sent it.
     Catalog(Arc<Catalog>),
     CatalogEdit(Packed<CatalogDelta>),
+    WithholdPart(PartKey),
+    ReleasePart(PartKey),
 }
 
 impl Tables {
@@ -97,6 +105,12 @@
                 self.roster.shift_remove(id);
             }
             Delta::Catalog(it) => self.catalog = it.clone(),
+            Delta::WithholdPart(it) => {
+                self.withheld_parts.insert(it.clone());
+            }
+            Delta::ReleasePart(it) => {
+                self.withheld_parts.shift_remove(it);
+            }
             Delta::CatalogEdit(it) => self.catalog = Arc::new(it.open()?.apply(&self.catalog)?),
         }
         Ok(())
--- a/crates/coord/tests/catalog_delta.rs
+++ b/crates/coord/tests/catalog_delta.rs
@@ -84,6 +84,7 @@
         loads: Vec::new(),
         teams: Vec::new(),
         want_holdings: false,
+        suspects: Vec::new(),
     }
 }
 
--- a/crates/coord/tests/voter_cluster/mod.rs
+++ b/crates/coord/tests/voter_cluster/mod.rs
@@ -215,6 +215,8 @@
             healthy: Vec::new(),
             demand: Vec::new(),
             teams: Vec::new(),
+            crashes: Vec::new(),
+            answered: Vec::new(),
             packed: true,
             leaving: false,
         };
--- a/crates/daemon/src/core/context.rs
+++ b/crates/daemon/src/core/context.rs
@@ -9,7 +9,11 @@
         settings::Settings,
         telemetry::Meters,
     },
-    coord::{raft::RestoredState, tables::Tables},
+    coord::{
+        raft::RestoredState,
+        tables::{PartKey, Tables},
+    },
+    indexmap::IndexSet,
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::AtomicBool},
@@ -33,6 +37,8 @@
     pub ready: Arc<AtomicBool>,
     /// Publishes the replicated tables to the relay.
     pub tables: watch::Sender<Arc<Tables>>,
+    /// Publishes the parts of prompts under which endpoints have crashed.
+    pub suspects: watch::Sender<Arc<IndexSet<PartKey>>>,
     pub drain: Arc<DrainState>,
     pub start: Instant,
     /// Seeds the random number generators.
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -1,7 +1,12 @@
 //! The actor, its state and its periodic work.
 
 use {
-    super::{Context, proposals::Proposal, renewals::Renewals, stop::Stop},
+    super::{
+        Context,
+        proposals::Proposal,
+        renewals::{Renewals, Unsettled},
+        stop::Stop,
+    },
     crate::{
         callers::CallerReply,
         disk::{DiskWriter, Identity},
@@ -14,16 +19,14 @@
         telemetry::Meters,
     },
     coord::{
-        control::{
-            Completion, EndpointFault, Envelope, LeaseHolder, PeerGuard, Token, Voter, first_voters,
-        },
+        control::{Completion, Envelope, LeaseHolder, PeerGuard, Token, Voter, first_voters},
         ids::{Class, Index, NodeId, RequestId, RouteName, TeamName, Term},
         raft::{Config, Role},
         router::{Limits, Router},
-        tables::Tables,
+        tables::{PartKey, Tables},
         time::{Millis, Time, WallTime},
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     stakker::{CX, after, call},
     std::{
         net::SocketAddr,
@@ -57,7 +60,7 @@
 /// What to continue with when the answer to a token arrives.
 pub(super) enum Pending {
     Proposal(Box<Proposal>),
-    Renewal { sent_at: Time, faults: Vec<EndpointFault> },
+    Renewal { sent_at: Time, unsettled: Unsettled },
     Admin { call: Box<OperatorCall>, deadline: Time },
     Peer(Responder),
 }
@@ -95,6 +98,7 @@
     pub(super) meters: Meters,
     pub(super) ready: Arc<AtomicBool>,
     pub(super) tables: watch::Sender<Arc<Tables>>,
+    pub(super) suspects: watch::Sender<Arc<IndexSet<PartKey>>>,
     pub(super) drain: Arc<DrainState>,
     pub(super) stop: Option<Stop>,
     pub(super) exit: Option<ExitCode>,
@@ -148,6 +152,7 @@
             meters: context.meters,
             ready: context.ready,
             tables: context.tables,
+            suspects: context.suspects,
             drain: context.drain,
             stop: None,
             exit: None,
@@ -183,6 +188,8 @@
             Event::Deregister { endpoint, committed } => {
                 self.on_deregister(now, &endpoint, committed)
             }
+            Event::EndpointCrashed(report) => self.renewals.add_crash(report),
+            Event::PartsAnswered(keys) => self.renewals.add_answered(keys),
             Event::SeedsChanged(seeds) => {
                 log::info!(seeds:? = seeds; "[settings] The addresses to join have changed.");
                 self.renewals.add_seeds(&seeds);
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -87,12 +87,12 @@
                 });
                 self.on_proposal_answer(now, *proposal, result);
             }
-            Pending::Renewal { sent_at, faults } => {
+            Pending::Renewal { sent_at, unsettled } => {
                 let result = answer.and_then(|it| match it {
                     PeerAnswer::Renew(result) => Ok(result),
                     _ => Err(PeerError::Unreachable),
                 });
-                self.on_renewal(now, token, sent_at, faults, result);
+                self.on_renewal(now, token, sent_at, unsettled, result);
             }
             Pending::Admin { call, deadline } => {
                 let result = answer.and_then(|it| match it {
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -9,15 +9,16 @@
     crate::peers::{Outgoing, PeerCall, PeerError},
     coord::{
         control::{
-            EndpointFault, EndpointReport, PeerGuard, RenewError, RenewReply, RenewRequest, Token,
+            CrashReport, EndpointFault, EndpointReport, PeerGuard, RenewError, RenewReply,
+            RenewRequest, Token,
         },
         ids::{EndpointName, NodeId, SystemId},
         raft,
-        tables::{Command, Member, Outcome, Tables},
+        tables::{Command, Member, Outcome, PartKey, Tables},
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
-    std::{fmt::Display, net::SocketAddr},
+    std::{fmt::Display, net::SocketAddr, sync::Arc},
 };
 
 /// The least time from a renewal to one that is sent early. It grows with each
@@ -36,6 +37,33 @@
 /// How long a join is retried before it starts over.
 const JOIN_TIMEOUT: Millis = Millis(5000);
 
+/// The most reports of crashes, and of answered suspects, kept for the next renewal.
+const MAX_REPORTS: usize = 256;
+
+/// What a renewal reports once. It is reported again if the renewal fails.
+#[derive(Debug, Clone, Default)]
+pub struct Unsettled {
+    faults: Vec<EndpointFault>,
+    crashes: Vec<CrashReport>,
+    answered: IndexSet<PartKey>,
+}
+
+impl Unsettled {
+    /// Adds what a failed renewal has reported.
+    fn restore(&mut self, other: Self) {
+        self.faults.extend(other.faults);
+        self.crashes.extend(other.crashes);
+        self.crashes.truncate(MAX_REPORTS);
+        self.answered.extend(other.answered);
+        self.answered.truncate(MAX_REPORTS);
+    }
+
+    /// Whether the leader should learn of it at once.
+    fn is_urgent(&self) -> bool {
+        !self.faults.is_empty() || !self.crashes.is_empty()
+    }
+}
+
 /// This instance's state for renewals and for the search for the leader.
 pub struct Renewals {
     seq: u64,
@@ -46,7 +74,7 @@
     /// When the latest renewal was sent.
     sent_at: Time,
     reports: IndexMap<EndpointName, EndpointReport>,
-    faults: Vec<EndpointFault>,
+    unsettled: Unsettled,
     leader: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     seed_index: usize,
@@ -69,7 +97,7 @@
             next_at: Time(0),
             sent_at: Time(0),
             reports: IndexMap::new(),
-            faults: Vec::new(),
+            unsettled: Unsettled::default(),
             leader: None,
             seeds: seeds.to_vec(),
             seed_index: 0,
@@ -93,6 +121,19 @@
         self.reports.insert(report.endpoint.clone(), report);
     }
 
+    /// Keeps the report of an endpoint's crash for the next renewal.
+    pub fn add_crash(&mut self, report: CrashReport) {
+        if self.unsettled.crashes.len() < MAX_REPORTS {
+            self.unsettled.crashes.push(report);
+        }
+    }
+
+    /// Keeps suspects that were answered for the next renewal.
+    pub fn add_answered(&mut self, keys: Vec<PartKey>) {
+        self.unsettled.answered.extend(keys);
+        self.unsettled.answered.truncate(MAX_REPORTS);
+    }
+
     /// Sets the leader that another instance has named.
     pub fn set_leader(&mut self, leader: Option<SocketAddr>) {
         self.leader = leader;
@@ -168,8 +209,8 @@
         if self.stop.as_ref().is_some_and(|it| it.released) {
             return;
         }
-        self.renewals.faults.extend(self.router.take_faults());
-        let early = !self.renewals.faults.is_empty() || self.router.is_starved(now);
+        self.renewals.unsettled.faults.extend(self.router.take_faults());
+        let early = self.renewals.unsettled.is_urgent() || self.router.is_starved(now);
         let count = self.holder.tables().roster.len() as u64;
         let gap = Millis(EARLY_GAP.0 + count * EARLY_GAP_PER_INSTANCE.0);
         let early = early && now.since(self.renewals.sent_at) >= gap;
@@ -190,12 +231,12 @@
             self.renewals.next_at = now + RETRY_DELAY;
             return;
         }
-        let faults = std::mem::take(&mut self.renewals.faults);
-        let request = self.renewal_request(faults.clone(), leaving);
+        let unsettled = std::mem::take(&mut self.renewals.unsettled);
+        let request = self.renewal_request(unsettled.clone(), leaving);
         let token = self.next_token();
         self.renewals.outstanding = Some((token, now));
         self.renewals.sent_at = now;
-        self.pending.insert(token, Pending::Renewal { sent_at: now, faults });
+        self.pending.insert(token, Pending::Renewal { sent_at: now, unsettled });
         match to {
             Some(to) => self.call_peer(to, Some(token), PeerCall::Renew(request)),
             None => {
@@ -214,8 +255,8 @@
         result: Result<RenewReply, RenewError>,
     ) {
         match self.pending.shift_remove(&token) {
-            Some(Pending::Renewal { sent_at, faults }) => {
-                self.on_renewal(now, token, sent_at, faults, Ok(result));
+            Some(Pending::Renewal { sent_at, unsettled }) => {
+                self.on_renewal(now, token, sent_at, unsettled, Ok(result));
             }
             Some(Pending::Peer(respond)) => {
                 let _ = respond.send(crate::peers::PeerAnswer::Renew(result));
@@ -230,7 +271,7 @@
         now: Time,
         token: Token,
         sent_at: Time,
-        faults: Vec<EndpointFault>,
+        unsettled: Unsettled,
         answer: Result<Result<RenewReply, RenewError>, PeerError>,
     ) {
         let latest = self.renewals.outstanding.is_some_and(|(it, _)| it == token);
@@ -244,8 +285,8 @@
                 self.apply_reply(now, sent_at, reply);
             }
             Ok(Err(RenewError::Superseded)) => {}
-            Ok(Err(err)) => self.on_renewal_failure(now, latest, faults, Ok(err)),
-            Err(err) => self.on_renewal_failure(now, latest, faults, Err(err)),
+            Ok(Err(err)) => self.on_renewal_failure(now, latest, unsettled, Ok(err)),
+            Err(err) => self.on_renewal_failure(now, latest, unsettled, Err(err)),
         }
     }
 
@@ -276,7 +317,7 @@
         }
     }
 
-    fn renewal_request(&mut self, faults: Vec<EndpointFault>, leaving: bool) -> RenewRequest {
+    fn renewal_request(&mut self, unsettled: Unsettled, leaving: bool) -> RenewRequest {
         self.renewals.seq += 1;
         let wants_holdings = self.holder.want_holdings() || self.renewals.seq == 1;
         RenewRequest {
@@ -289,10 +330,12 @@
             excess: self.router.over_granted(),
             holdings: wants_holdings.then(|| self.router.holdings()),
             reports: std::mem::take(&mut self.renewals.reports).into_values().collect(),
-            faults,
+            faults: unsettled.faults,
             healthy: self.router.take_succeeded(),
             demand: self.router.demand(),
             teams: self.router.team_usage(),
+            crashes: unsettled.crashes,
+            answered: unsettled.answered.into_iter().collect(),
             packed: true,
             leaving,
         }
@@ -302,6 +345,14 @@
     fn apply_reply(&mut self, now: Time, sent_at: Time, reply: RenewReply) {
         let had_lease = self.holder.has_lease(now);
         let loads = reply.loads.clone();
+        let suspects: IndexSet<PartKey> = reply.suspects.iter().cloned().collect();
+        self.suspects.send_if_modified(|known| {
+            let changed = **known != suspects;
+            if changed {
+                *known = Arc::new(suspects);
+            }
+            changed
+        });
         self.router.set_team_totals(&reply.teams);
         let change = self.holder.apply_reply(now, sent_at, reply);
         if let Some(reason) = &change.failure {
@@ -330,10 +381,10 @@
         &mut self,
         now: Time,
         latest: bool,
-        faults: Vec<EndpointFault>,
+        unsettled: Unsettled,
         failure: Result<RenewError, PeerError>,
     ) {
-        self.renewals.faults.extend(faults);
+        self.renewals.unsettled.restore(unsettled);
         if latest {
             self.renewals.next_at = now + RETRY_DELAY;
         }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -8,9 +8,10 @@
         peers::{PeerCall, PeerError, Responder},
     },
     coord::{
-        control::{Envelope, Token},
+        control::{CrashReport, Envelope, Token},
         ids::{AttemptId, EndpointName, Index, RequestId, SystemId},
         router::{AttemptEvent, Submission},
+        tables::PartKey,
         wire::Announcement,
     },
     std::{
@@ -47,6 +48,10 @@
     Announce { announcement: Box<Announcement>, committed: Option<oneshot::Sender<bool>> },
     /// An endpoint is deregistered. `committed` is as for an announcement.
     Deregister { endpoint: EndpointName, committed: Option<oneshot::Sender<bool>> },
+    /// An endpoint has crashed under a relayed request.
+    EndpointCrashed(CrashReport),
+    /// An endpoint has begun to answer a request with these suspects.
+    PartsAnswered(Vec<PartKey>),
     /// The addresses to join have changed.
     SeedsChanged(Vec<SocketAddr>),
     /// The Raft log is durable up to this index.
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -5,6 +5,8 @@
     super::{
         HeaderNames,
         body_check::BodyCheck,
+        crash_watch::AttemptWatch,
+        front::RETRY_AFTER_WITHHELD,
         record::{RequestRecord, join_parts},
         relay::{InFlightGuard, Relay},
         request::{RelayRequest, connection_options},
@@ -46,7 +48,7 @@
 /// The outcome of one attempt at an endpoint.
 enum Reply {
     /// A successful stream whose body is still arriving.
-    Stream(Response<Incoming>, BodyCheck, Lease),
+    Stream(Response<Incoming>, BodyCheck, Lease, Box<AttemptWatch>),
     /// A completely read response that can be forwarded.
     Complete(Parts, Bytes),
     /// A server error from an endpoint that ran the request.
@@ -81,6 +83,12 @@
         let mut tried: Vec<EndpointName> = Vec::new();
         self.relay.earn_retry(&self.request.pool);
         loop {
+            if self.relay.view().is_withheld(&self.request.pool, &self.request.parts) {
+                return match attempts.may_have_run() {
+                    true => self.deny(Denial::Unknown),
+                    false => self.deny_withheld(),
+                };
+            }
             let Some(endpoint) = self.choose(&tried) else {
                 let unknown = attempts.give_up(AttemptOutcome::NotSent) == NextAction::Fail;
                 match self.pause_left(&tried) {
@@ -97,9 +105,9 @@
             let reply = self.send(&endpoint).await;
             let withheld = matches!(reply, Reply::Withheld);
             let (outcome, failure) = match reply {
-                Reply::Stream(response, check, lease) => {
+                Reply::Stream(response, check, lease, watch) => {
                     self.relay.placer().answered(&endpoint.name);
-                    return self.stream(response, check, lease, in_flight);
+                    return self.stream(response, check, lease, watch, in_flight);
                 }
                 Reply::Complete(head, body) => {
                     self.relay.placer().answered(&endpoint.name);
@@ -220,12 +228,18 @@
             self.body.clone(),
         );
         let deadline = self.request.deadline.into();
+        let mut watch = self.relay.crashes.attempt(&self.request, endpoint);
         let began = Instant::now();
         let sent = timeout_at(deadline, self.relay.upstream.send(endpoint, outgoing)).await;
         let (response, lease) = match sent {
             Err(_) => return Reply::TimedOut,
             Ok(Err(SendError::Withheld)) => return Reply::Withheld,
-            Ok(Err(err)) => return Reply::Lost(err),
+            Ok(Err(err)) => {
+                if !err.is_unsent() {
+                    watch.broke_off(false);
+                }
+                return Reply::Lost(err);
+            }
             Ok(Ok(it)) => it,
         };
         let is_stream = response.status().is_success() && self.request.route.retry.is_stream();
@@ -236,7 +250,7 @@
         }
         self.relay.record_run_time(&self.request.pool, self.body.len(), began.elapsed());
         if is_stream {
-            return Reply::Stream(response, check, lease);
+            return Reply::Stream(response, check, lease, Box::new(watch));
         }
         let (head, body) = response.into_parts();
         let read = self.relay.buffers.read(body, MAX_BUFFERED_BYTES);
@@ -244,9 +258,11 @@
             Err(_) => Reply::TimedOut,
             Ok(Err(err)) => {
                 self.record.log_error(&err);
+                watch.broke_off(true);
                 Reply::Improper("the body can't be read whole")
             }
             Ok(Ok(body)) => {
+                watch.answered();
                 check.push(&body);
                 if check.check_end().is_err() {
                     return Reply::Improper("the events of the body ended early");
@@ -280,6 +296,7 @@
         response: Response<Incoming>,
         check: BodyCheck,
         lease: Lease,
+        watch: Box<AttemptWatch>,
         in_flight: InFlightGuard,
     ) -> RelayResponse {
         let (mut head, body) = response.into_parts();
@@ -289,7 +306,7 @@
         }
         self.results.close();
         let deadline = self.request.deadline;
-        let body = RelayBody::new(body, check, lease, deadline, self.record, in_flight);
+        let body = RelayBody::new(body, check, lease, watch, deadline, self.record, in_flight);
         Response::from_parts(head, stream_body(body))
     }
 
@@ -308,6 +325,11 @@
         deny(denial, after)
     }
 
+    fn deny_withheld(mut self) -> RelayResponse {
+        self.record.finish(Denial::Withheld.name());
+        deny(Denial::Withheld, Some(RETRY_AFTER_WITHHELD))
+    }
+
     fn deny_until(mut self, time: Duration) -> RelayResponse {
         self.record.finish(Denial::Paused.name());
         deny(Denial::Paused, Some(to_millis(time)))
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -127,6 +127,10 @@
 /// Minimum size of the server's read buffer.
 const MIN_BUFFER_BYTES: usize = 16 << 10;
 
+/// `Retry-After` of requests with a withheld part: longer than callers wait, since it is
+/// withheld for minutes.
+pub const RETRY_AFTER_WITHHELD: Millis = Millis(60_000);
+
 async fn handle(relay: Rc<Relay>, request: Request<Incoming>) -> Result<RelayResponse, Infallible> {
     let mut response = relay_request(&relay, request).await;
     if relay.drain.phase() != DrainPhase::Open {
@@ -160,6 +164,7 @@
             let after = match denial {
                 Denial::NoCatalog => Some(RETRY_AFTER_UNREADY),
                 Denial::Stopping => Some(Millis(0)),
+                Denial::Withheld => Some(RETRY_AFTER_WITHHELD),
                 _ => None,
             };
             return deny(denial, after);
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod body_check;
 mod buffers;
 mod clock;
+mod crash_watch;
 mod dialect;
 mod drain_state;
 mod forward;
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -4,16 +4,18 @@
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
         batcher::Batchers, batcher_clients::BatcherClients, buffers::Buffers, clock::time_since,
-        notices::Notices, record::SeriesLabels, request::RelayRequest, upstream::Upstream,
-        view::View,
+        crash_watch::CrashWatch, notices::Notices, record::SeriesLabels, request::RelayRequest,
+        upstream::Upstream, view::View,
     },
+    crate::event::Inbox,
     coord::{
         ids::{EndpointName, PoolName, StageName},
         relay::{Placer, QueueWaits, Shard},
         router::{Estimator, RetryBudget},
-        tables::Tables,
+        tables::{PartKey, Tables},
         time::{Millis, Time},
     },
+    indexmap::IndexSet,
     std::{
         cell::RefCell,
         collections::HashMap,
@@ -45,6 +47,10 @@
     /// Stage requests, cancellations and released results from peers.
     pub batcher_events: mpsc::UnboundedReceiver<BatcherEvent>,
     pub drain: Arc<DrainState>,
+    /// The core loop's queue.
+    pub inbox: Inbox,
+    /// The parts of prompts under which endpoints have crashed.
+    pub suspects: watch::Receiver<Arc<IndexSet<PartKey>>>,
     /// The address at which peers reach this instance.
     pub peer: SocketAddr,
     pub secret: Arc<str>,
@@ -60,6 +66,7 @@
     pub series: Rc<SeriesLabels>,
     pub notices: Rc<Notices>,
     pub buffers: Buffers,
+    pub crashes: CrashWatch,
     pub peer: SocketAddr,
     placer: Rc<RefCell<Placer>>,
     view: RefCell<Rc<View>>,
@@ -87,7 +94,16 @@
     /// Creates the relay and spawns its background tasks on the current
     /// `LocalSet`.
     pub fn start(context: RelayContext) -> Rc<Self> {
-        let RelayContext { settings, mut tables, batcher_events, drain, peer, secret } = context;
+        let RelayContext {
+            settings,
+            mut tables,
+            batcher_events,
+            drain,
+            inbox,
+            suspects,
+            peer,
+            secret,
+        } = context;
         let start = Instant::now();
         let names = &settings.dialect.headers;
         let notices = Rc::new(Notices::new(names, settings.leave_grace, start));
@@ -103,6 +119,7 @@
             ),
             notices,
             buffers,
+            crashes: CrashWatch::new(inbox, suspects),
             dialect: settings.dialect,
             drain,
             upstream,
@@ -222,6 +239,7 @@
                 "[relay] catalog in force"
             );
         }
+        log_withheld_parts(&old.tables, &tables);
         let view = Rc::new(View::new(tables));
         *self.view.borrow_mut() = view.clone();
         let known = |it: &EndpointName| view.tables.endpoints.contains_key(it);
@@ -241,3 +259,13 @@
         }
     }
 }
+
+/// Logs the parts of prompts that are withheld or released from now on.
+fn log_withheld_parts(old: &Tables, new: &Tables) {
+    for it in new.withheld_parts.difference(&old.withheld_parts) {
+        log::warn!(pool:% = it.pool, part:% = it.part; "[relay] part of prompts withheld");
+    }
+    for it in old.withheld_parts.difference(&new.withheld_parts) {
+        log::info!(pool:% = it.pool, part:% = it.part; "[relay] part of prompts released");
+    }
+}
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -84,6 +84,10 @@
         };
         let piece_counts = piece_counts(&head, names, &route)?;
         let pool = route.pick(rand::random()).ok_or(Denial::NoRoute)?.clone();
+        let parts = shared_parts(&head, names);
+        if view.is_withheld(&pool, &parts) {
+            return Err(Denial::Withheld);
+        }
         let affinity = route.sticky.then(|| affinity(&head, names)).flatten();
         let preferred_domain =
             choose_domain(view, &route, &pool, affinity.as_deref().unwrap_or(id.as_bytes()));
@@ -95,7 +99,7 @@
             received,
             target: received + Duration::from_millis(route.latency_target.0),
             deadline: received + Duration::from_millis(timeout.min(route.timeout).0),
-            parts: shared_parts(&head, names),
+            parts,
             affinity,
             preferred_domain,
             piece_counts,
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -36,6 +36,8 @@
     NoEndpoint,
     /// Every endpoint asked for a pause that ends too late.
     Paused,
+    /// A part of the prompt crashes endpoints and is withheld from them.
+    Withheld,
     /// The body did not arrive, or the stages can't finish, before the deadline.
     TooLate,
     /// Endpoints refused the request or it could not be sent; it has not run.
@@ -59,6 +61,7 @@
             | Self::Stopping
             | Self::NoEndpoint
             | Self::Paused
+            | Self::Withheld
             | Self::TooLate
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -77,6 +80,7 @@
             Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
             Self::Paused => "paused",
+            Self::Withheld => "withheld",
             Self::TooLate => "too_late",
             Self::NotRun => "unrun",
             Self::Unknown => "unknown",
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -1,7 +1,10 @@
 //! The body of a response that is forwarded as it arrives.
 
 use {
-    super::{body_check::BodyCheck, record::RequestRecord, relay::InFlightGuard, upstream::Lease},
+    super::{
+        body_check::BodyCheck, crash_watch::AttemptWatch, record::RequestRecord,
+        relay::InFlightGuard, upstream::Lease,
+    },
     hyper::body::{Body, Bytes, Frame, Incoming, SizeHint},
     std::{
         error::Error,
@@ -20,6 +23,7 @@
     inner: Incoming,
     check: BodyCheck,
     lease: Option<Lease>,
+    watch: Option<Box<AttemptWatch>>,
     deadline: Pin<Box<Sleep>>,
     record: RequestRecord,
     _in_flight: InFlightGuard,
@@ -31,18 +35,22 @@
         inner: Incoming,
         check: BodyCheck,
         lease: Lease,
+        watch: Box<AttemptWatch>,
         deadline: Instant,
         record: RequestRecord,
         in_flight: InFlightGuard,
     ) -> Self {
         let deadline = Box::pin(sleep_until(deadline.into()));
-        let lease = Some(lease);
-        let mut body = Self { inner, check, lease, deadline, record, _in_flight: in_flight };
+        let (lease, watch) = (Some(lease), Some(watch));
+        let mut body = Self { inner, check, lease, watch, deadline, record, _in_flight: in_flight };
         body.finish_at_end();
         body
     }
 
     fn add_data(&mut self, data: &Bytes) {
+        if let Some(it) = self.watch.as_mut().filter(|_| !data.is_empty()) {
+            it.answered();
+        }
         self.check.push(data);
         self.record.add_bytes(data.len());
         if let Some(it) = self.check.events() {
@@ -69,6 +77,9 @@
     /// Closes the endpoint's connection and records a response that was cut.
     fn break_off(&mut self, err: impl Error + Send + Sync + 'static) -> io::Error {
         self.lease = None;
+        if let Some(it) = self.watch.take() {
+            it.broke_off(true);
+        }
         self.record.log_error(&err);
         self.record.finish("broken_off");
         io::Error::other(err)
--- a/crates/daemon/src/relay/view.rs
+++ b/crates/daemon/src/relay/view.rs
@@ -3,9 +3,9 @@
 use {
     coord::{
         catalog::{ApiKey, Catalog, RouteIndex},
-        ids::{PoolName, TeamName},
+        ids::{PoolName, PromptPart, TeamName},
         relay::{Shard, batcher_candidates, entry_addrs, is_split, shards},
-        tables::{Endpoint, Tables},
+        tables::{Endpoint, PartKey, Tables},
     },
     indexmap::IndexMap,
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc},
@@ -70,6 +70,15 @@
         self.keys.get(key)
     }
 
+    /// Whether a part of prompts is withheld from a pool.
+    pub fn is_withheld(&self, pool: &PoolName, parts: &[PromptPart]) -> bool {
+        let withheld = &self.tables.withheld_parts;
+        !withheld.is_empty() && {
+            let key = |part: &PromptPart| PartKey { pool: pool.clone(), part: part.clone() };
+            parts.iter().any(|it| withheld.contains(&key(it)))
+        }
+    }
+
     /// Returns the endpoints of a pool that accept new work.
     pub fn endpoints(&self, pool: &PoolName) -> &[Endpoint] {
         self.pools.get(pool).map_or(&[], Vec::as_slice)
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -151,6 +151,7 @@
     let Listeners { caller, operator, endpoint, peer, relay } = listeners;
     let drain = Arc::new(DrainState::default());
     let (tables, tables_rx) = watch::channel(Arc::default());
+    let (suspects, suspects_rx) = watch::channel(Arc::default());
     let context = CallerContext {
         inbox: inbox.clone(),
         max_body: settings.max_body,
@@ -162,8 +163,16 @@
     let relay = settings.relay.clone().zip(relay).map(|(settings, listeners)| {
         let (tables, drain) = (tables_rx, drain.clone());
         let secret = peer_secret.clone();
-        let context =
-            RelayContext { settings, tables, batcher_events, drain, peer: peer_addr, secret };
+        let context = RelayContext {
+            settings,
+            tables,
+            batcher_events,
+            drain,
+            inbox: inbox.clone(),
+            suspects: suspects_rx,
+            peer: peer_addr,
+            secret,
+        };
         (context, listeners)
     });
     let network = Network {
@@ -189,6 +198,7 @@
     let context = Context {
         peer_addr,
         tables,
+        suspects,
         drain,
         endpoints: EndpointClient::new(settings.endpoint_threads, inbox),
         settings,
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -8,12 +8,13 @@
         ids::{Bytes, Incarnation, NodeId},
         tables::{Endpoint, Member, Tables},
     },
+    daemon::event::Inbox,
     daemon::relay::{BatcherEvent, DrainState, Relay, RelayContext, RelaySettings, serve},
     harness::RawResponse,
     standin::{ReceivedRequest, Script, ScriptedEndpoint, Step},
     std::{
         net::{SocketAddr, TcpListener, TcpStream},
-        sync::Arc,
+        sync::{Arc, mpsc::sync_channel},
         thread,
     },
     tokio::{
@@ -98,6 +99,8 @@
                 tables: followed,
                 batcher_events: received,
                 drain: shared,
+                inbox: Inbox::new(sync_channel(1).0),
+                suspects: watch::channel(Arc::default()).1,
                 peer: addr,
                 secret: "".into(),
             });
