Work out suspected parts of prompts ten times a second at most

The leader went through all remembered crashes with each tick and each renewal: up to 64 x 64 requests, 100 times a second, in a storm of crashes. It now does so every 100 ms while there are any, and names 32 suspects at most, so that renewals stay small.

A test of real processes kills the leader after the third crash: the part is withheld in time all the same.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -86,8 +86,8 @@
     /// Proposes to withhold a part of prompts under which endpoints crash, and to release
     /// those that were withheld for long.
     pub(super) fn judge_parts(&mut self, now: Time) {
-        self.parts.tick(now);
         let withheld = &self.state.tables.withheld_parts;
+        self.parts.tick(now, withheld);
         self.withheld_since
             .retain(|key, since| withheld.contains(key) || now.since(*since) < PROPOSAL_RETRY);
         for key in withheld {
@@ -101,7 +101,7 @@
             let _ = self.raft.propose(Command::ReleasePart(key));
             return;
         }
-        let verdict = self.parts.verdict(now, withheld);
+        let verdict = self.parts.verdict(now);
         if let Some(key) = verdict.filter(|it| !self.withheld_since.contains_key(it)) {
             self.withheld_since.insert(key.clone(), now);
             let _ = self.raft.propose(Command::WithholdPart(key));
--- a/crates/coord/src/control/part_evidence.rs
+++ b/crates/coord/src/control/part_evidence.rs
@@ -30,7 +30,9 @@
 const MAX_CRASHES: usize = 64;
 const MAX_REQUESTS: usize = 64;
 /// The maximum number of suspects that instances are told.
-const MAX_SUSPECTS: usize = 64;
+const MAX_SUSPECTS: usize = 32;
+/// How often the suspects are worked out anew while there are crashes to look at.
+const REFRESH_INTERVAL: Millis = Millis(100);
 
 /// A request that ended at an endpoint's crash, without a byte of its answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +88,9 @@
     answered: IndexMap<PartKey, Time>,
     /// When an answer of each pool was last reported.
     pool_answered: IndexMap<PoolName, Time>,
+    /// The parts that crashes speak against, as of `refreshed_at`.
+    suspicions: IndexMap<PartKey, Suspicion>,
+    refreshed_at: Time,
 }
 
 impl PartEvidence {
@@ -134,36 +139,41 @@
 
     /// Returns the parts under which endpoints have crashed and that weren't answered
     /// since.
-    pub fn suspects(&self, now: Time, withheld: &IndexSet<PartKey>) -> Vec<PartKey> {
-        let rows = self.suspicions(now, withheld).into_iter();
-        rows.take(MAX_SUSPECTS).map(|(key, _)| key).collect()
+    pub fn suspects(&self) -> Vec<PartKey> {
+        self.suspicions.keys().take(MAX_SUSPECTS).cloned().collect()
     }
 
     /// Returns the part to withhold now, if there is one. None is while its pool answers
     /// nothing: then the parts of prompts aren't what it fails for.
-    pub fn verdict(&self, now: Time, withheld: &IndexSet<PartKey>) -> Option<PartKey> {
-        let is_due = |(key, it): &(PartKey, Suspicion)| {
+    pub fn verdict(&self, now: Time) -> Option<PartKey> {
+        let is_due = |(key, it): &(&PartKey, &Suspicion)| {
             let decisive = it.moments.get(MIN_MOMENTS - 1);
             let answers = self.pool_answered.get(&key.pool) > it.moments.first();
             answers && decisive.is_some_and(|at| now.since(*at) >= SETTLE_TIME)
         };
-        let rows = self.suspicions(now, withheld).into_iter().filter(is_due);
-        rows.max_by_key(|(_, it)| (it.moments.len(), it.position)).map(|(key, _)| key)
+        let due = self.suspicions.iter().filter(is_due);
+        due.max_by_key(|(_, it)| (it.moments.len(), it.position)).map(|(key, _)| key.clone())
     }
 
-    /// Drops what no longer counts.
-    pub fn tick(&mut self, now: Time) {
+    /// Drops what no longer counts, and works out the suspects. `withheld` are the parts
+    /// that are withheld already; crashes that they explain count against no other.
+    pub fn tick(&mut self, now: Time, withheld: &IndexSet<PartKey>) {
+        let is_idle = self.crashes.is_empty() && self.suspicions.is_empty();
+        if is_idle || now.since(self.refreshed_at) < REFRESH_INTERVAL {
+            return;
+        }
+        self.refreshed_at = now;
         while self.crashes.front().is_some_and(|it| now.since(it.at) > WINDOW) {
             self.crashes.pop_front();
         }
         self.answered.retain(|_, at| now.since(*at) <= WINDOW);
         self.pool_answered.retain(|_, at| now.since(*at) <= WINDOW);
+        self.suspicions = self.find_suspicions(withheld);
     }
 
-    fn suspicions(&self, now: Time, withheld: &IndexSet<PartKey>) -> IndexMap<PartKey, Suspicion> {
+    fn find_suspicions(&self, withheld: &IndexSet<PartKey>) -> IndexMap<PartKey, Suspicion> {
         let mut rows: IndexMap<PartKey, Suspicion> = IndexMap::new();
-        let recent = self.crashes.iter().filter(|it| now.since(it.at) <= WINDOW);
-        for crash in recent.filter(|it| !it.is_explained(withheld)) {
+        for crash in self.crashes.iter().filter(|it| !it.is_explained(withheld)) {
             for parts in crash.candidates() {
                 for (position, part) in parts.iter().enumerate() {
                     let key = PartKey { pool: crash.pool.clone(), part: part.clone() };
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -78,13 +78,13 @@
     }
 
     /// Ends the lease of an instance that is stopping.
-    pub(super) fn release_lease(&mut self, now: Time, token: Token, request: &RenewRequest) {
+    pub(super) fn release_lease(&mut self, token: Token, request: &RenewRequest) {
         self.leases.remove(request.node);
         if let Some(old) = self.renewals.shift_remove(&request.node) {
             self.completions
                 .push(Completion::Renewal(old.token, Box::new(Err(RenewError::Superseded))));
         }
-        let reply = self.reply(now, request, None);
+        let reply = self.reply(request, None);
         self.completions.push(Completion::Renewal(
             token,
             Box::new(Ok(RenewReply { lease: Millis(0), ..reply })),
@@ -151,11 +151,11 @@
             version: it.request.version,
         };
         self.leases.grant(now, node, row);
-        let reply = self.reply(now, &it.request, grants);
+        let reply = self.reply(&it.request, grants);
         self.completions.push(Completion::Renewal(it.token, Box::new(Ok(reply))));
     }
 
-    fn reply(&mut self, now: Time, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
+    fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
         let tables = &self.state.tables;
         let update = match request.packed {
             true => self.feed.update(request.applied, tables),
@@ -179,7 +179,7 @@
             teams: self.teams.totals(&request.teams),
             grants,
             want_holdings: !self.shares.contains(holder_of(request)),
-            suspects: self.parts.suspects(now, &self.state.tables.withheld_parts),
+            suspects: self.parts.suspects(),
         }
     }
 
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -281,7 +281,7 @@
         }
         self.record_request(now, &request);
         if request.leaving {
-            self.release_lease(now, token, &request);
+            self.release_lease(token, &request);
             return;
         }
         self.allocate(now);
--- a/crates/coord/tests/part_evidence.rs
+++ b/crates/coord/tests/part_evidence.rs
@@ -45,6 +45,15 @@
     IndexSet::new()
 }
 
+fn verdict(
+    evidence: &mut PartEvidence,
+    now: Time,
+    withheld: &IndexSet<PartKey>,
+) -> Option<PartKey> {
+    evidence.tick(now, withheld);
+    evidence.verdict(now)
+}
+
 #[test]
 fn the_part_in_every_crash_is_withheld() {
     let mut evidence = PartEvidence::default();
@@ -56,8 +65,8 @@
 
     evidence.record_answer(Time(4050), &key("a"));
 
-    assert_eq!(evidence.verdict(Time(4100), &none()), None, "answers may still be reported");
-    assert_eq!(evidence.verdict(Time(5000), &none()), Some(key(DEADLY)));
+    assert_eq!(verdict(&mut evidence, Time(4100), &none()), None, "answers may still be reported");
+    assert_eq!(verdict(&mut evidence, Time(5000), &none()), Some(key(DEADLY)));
 }
 
 #[test]
@@ -67,7 +76,7 @@
         evidence.record_crash(Time(1000 * number), &report(number, &["first"], true));
     }
 
-    assert_eq!(evidence.verdict(Time(20_000), &none()), None);
+    assert_eq!(verdict(&mut evidence, Time(20_000), &none()), None);
 }
 
 #[test]
@@ -78,10 +87,10 @@
     }
     evidence.record_answer(Time(4000), &key("other"));
 
-    assert_eq!(evidence.verdict(Time(5000), &none()), Some(key(DEADLY)));
+    assert_eq!(verdict(&mut evidence, Time(5000), &none()), Some(key(DEADLY)));
     let withheld: IndexSet<PartKey> = [key(DEADLY)].into_iter().collect();
-    assert_eq!(evidence.verdict(Time(9000), &withheld), None, "it explains all the crashes");
-    assert!(evidence.suspects(Time(9000), &withheld).is_empty());
+    assert_eq!(verdict(&mut evidence, Time(9000), &withheld), None, "it explains all the crashes");
+    assert!(evidence.suspects().is_empty());
 }
 
 #[test]
@@ -92,7 +101,7 @@
         evidence.record_answer(Time(1000 * number + 400), &key("first"));
     }
 
-    assert_eq!(evidence.verdict(Time(9000), &none()), None);
+    assert_eq!(verdict(&mut evidence, Time(9000), &none()), None);
 }
 
 #[test]
@@ -103,7 +112,7 @@
     }
     evidence.record_answer(Time(1500), &key("other"));
 
-    assert_eq!(evidence.verdict(Time(9000), &none()), None);
+    assert_eq!(verdict(&mut evidence, Time(9000), &none()), None);
 }
 
 #[test]
@@ -118,7 +127,7 @@
 
     evidence.record_answer(Time(4000), &key("other"));
 
-    assert_eq!(evidence.verdict(Time(5000), &withheld), Some(key(DEADLY)));
+    assert_eq!(verdict(&mut evidence, Time(5000), &withheld), Some(key(DEADLY)));
 }
 
 /// A simulated pool under sound requests and, from some time on, deadly ones.
@@ -182,15 +191,15 @@
         for (_, key) in due {
             self.evidence.record_answer(now, &key);
         }
-        self.evidence.tick(now);
-        let suspects = self.evidence.suspects(now, &self.withheld);
+        self.evidence.tick(now, &self.withheld);
+        let suspects = self.evidence.suspects();
         self.suspected.retain(|(it, _)| suspects.contains(it));
         for it in suspects {
             if !self.suspected.iter().any(|(known, _)| *known == it) {
                 self.suspected.push((it, now));
             }
         }
-        if let Some(key) = self.evidence.verdict(now, &self.withheld) {
+        if let Some(key) = self.evidence.verdict(now) {
             self.withheld.insert(key);
         }
     }
--- a/crates/harness/tests/crashing_prompts.rs
+++ b/crates/harness/tests/crashing_prompts.rs
@@ -18,6 +18,7 @@
     },
 };
 
+const SIGKILL: i32 = 9;
 const DEADLY_PART: &str = "bad";
 const VOTERS: usize = 3;
 const INSTANCES: usize = 6;
@@ -31,6 +32,8 @@
 
 struct System {
     cluster: Cluster,
+    /// The instances that callers and endpoints use.
+    instances: Vec<usize>,
     endpoints: Vec<CrashingEndpoint>,
 }
 
@@ -59,7 +62,7 @@
         let posted =
             cluster.operator().post::<serde_json::Value>("/v1/catalog", &relay_catalog(route));
         posted.expect("the catalog is accepted");
-        let system = Self { cluster, endpoints };
+        let system = Self { cluster, endpoints, instances: (0..INSTANCES).collect() };
         system.announce();
         wait_until("each instance serves", LONG_TIMEOUT, || {
             (0..INSTANCES).all(|it| system.call(it, "warm", "one").response.status == 200)
@@ -72,7 +75,7 @@
         for (number, it) in self.endpoints.iter().enumerate().filter(|(_, it)| it.is_up()) {
             let generation = Generation(1 + it.crashes().len() as u64);
             let endpoint = relay_endpoint(&format!("e{number}"), "app", it.addr);
-            let daemon = self.cluster.daemon(number % INSTANCES);
+            let daemon = self.cluster.daemon(self.instances[number % self.instances.len()]);
             daemon.announce(&Endpoint { generation, ..endpoint });
         }
     }
@@ -103,7 +106,8 @@
                 }
                 let (part, outcomes) = (part(number), &outcomes);
                 scope.spawn(move || {
-                    let it = self.call(number % INSTANCES, &part, &format!("{part}-{number}"));
+                    let instance = self.instances[number % self.instances.len()];
+                    let it = self.call(instance, &part, &format!("{part}-{number}"));
                     outcomes.lock().expect("no thread panics while it holds the lock").push(it);
                 });
                 thread::sleep(every);
@@ -144,12 +148,9 @@
     })
 }
 
-#[test]
-fn a_part_of_prompts_that_crashes_endpoints_is_kept_from_them_by_all_instances() {
-    let system = System::start();
-
-    let sound = run_beside(&system, Duration::from_secs(14), true);
-
+/// Checks what reaches endpoints after the fifth crash, and that sound requests with the
+/// same first part are served afterwards.
+fn check_kept(system: &System, sound: &[Outcome]) {
     let crashes = system.crashes();
     if let Some(fifth) = crashes.get(MAX_CRASHES - 1) {
         let bound = *fifth + CONTACT;
@@ -164,6 +165,32 @@
     assert_eq!(served.count(), after.len(), "sound requests with the same first part");
 }
 
+#[test]
+fn a_part_of_prompts_that_crashes_endpoints_is_kept_from_them_by_all_instances() {
+    let system = System::start();
+
+    let sound = run_beside(&system, Duration::from_secs(14), true);
+
+    check_kept(&system, &sound);
+}
+
+#[test]
+fn a_change_of_leader_does_not_forget_under_which_part_endpoints_crash() {
+    let mut system = System::start();
+    let leader = system.cluster.leader();
+    system.instances.retain(|it| *it != leader);
+
+    let sound = thread::scope(|scope| {
+        scope.spawn(|| {
+            wait_until("three crashes", LONG_TIMEOUT, || system.crashes().len() >= 3);
+            system.cluster.daemon(leader).proc.signal(SIGKILL);
+        });
+        run_beside(&system, Duration::from_secs(16), true)
+    });
+
+    check_kept(&system, &sound);
+}
+
 #[test]
 fn endpoints_that_crash_without_a_common_part_keep_no_prompt_from_being_served() {
     let system = System::start();
