Name the suspects under which most endpoints crashed, and withhold no other part

Found while reading the change again: instances are told 32 suspects at most, in the order of the crashes. A part beyond them can't be cleared by answers, so that after a crash with many requests a common part that is answered all the time could have been withheld.

Suspects are now sorted by their moments, and only those that are named can be withheld. The new test (parts_under_which_most_endpoints_crashed_...) failed before; the others pass as before.

--- a/crates/coord/src/control/part_evidence.rs
+++ b/crates/coord/src/control/part_evidence.rs
@@ -88,7 +88,8 @@
     answered: IndexMap<PartKey, Time>,
     /// When an answer of each pool was last reported.
     pool_answered: IndexMap<PoolName, Time>,
-    /// The parts that crashes speak against, as of `refreshed_at`.
+    /// The parts that crashes speak against, as of `refreshed_at`; those with the most
+    /// moments come first. No other is withheld, since instances don't report answers to it.
     suspicions: IndexMap<PartKey, Suspicion>,
     refreshed_at: Time,
 }
@@ -140,7 +141,7 @@
     /// Returns the parts under which endpoints have crashed and that weren't answered
     /// since.
     pub fn suspects(&self) -> Vec<PartKey> {
-        self.suspicions.keys().take(MAX_SUSPECTS).cloned().collect()
+        self.suspicions.keys().cloned().collect()
     }
 
     /// Returns the part to withhold now, if there is one. None is while its pool answers
@@ -189,6 +190,8 @@
                 }
             }
         }
+        rows.sort_by(|_, a, _, b| b.moments.len().cmp(&a.moments.len()));
+        rows.truncate(MAX_SUSPECTS);
         rows
     }
 }
--- a/crates/coord/tests/part_evidence.rs
+++ b/crates/coord/tests/part_evidence.rs
@@ -242,3 +242,19 @@
         }
     }
 }
+
+#[test]
+fn parts_under_which_most_endpoints_crashed_are_among_the_suspects_named() {
+    let mut evidence = PartEvidence::default();
+    let rare: Vec<String> = (0..60).map(|it| format!("rare{it}")).collect();
+    for it in &rare {
+        evidence.record_crash(Time(1000), &report(0, &[it], true));
+    }
+    for number in 1..=4 {
+        evidence.record_crash(Time(1000 + 1000 * number), &report(number, &["first"], true));
+    }
+
+    evidence.tick(Time(5000), &none());
+
+    assert!(evidence.suspects().contains(&key("first")), "its answers must be able to clear it");
+}
