Name what crashes endpoints by the usual term, and two functions after what they do

Tests and stand-ins say poison for such a part; the evidence's verdict is part_to_withhold, and judge_parts is update_withheld_parts. No behaviour changes.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -85,7 +85,7 @@
 
     /// Proposes to withhold a part of prompts under which endpoints crash, and to release
     /// those that were withheld for long.
-    pub(super) fn judge_parts(&mut self, now: Time) {
+    pub(super) fn update_withheld_parts(&mut self, now: Time) {
         let withheld = &self.state.tables.withheld_parts;
         self.parts.tick(now, withheld);
         self.withheld_since
@@ -101,8 +101,8 @@
             let _ = self.raft.propose(Command::ReleasePart(key));
             return;
         }
-        let verdict = self.parts.verdict(now);
-        if let Some(key) = verdict.filter(|it| !self.withheld_since.contains_key(it)) {
+        let found = self.parts.part_to_withhold(now);
+        if let Some(key) = found.filter(|it| !self.withheld_since.contains_key(it)) {
             self.withheld_since.insert(key.clone(), now);
             let _ = self.raft.propose(Command::WithholdPart(key));
         }
--- a/crates/coord/src/control/part_evidence.rs
+++ b/crates/coord/src/control/part_evidence.rs
@@ -146,7 +146,7 @@
 
     /// Returns the part to withhold now, if there is one. None is while its pool answers
     /// nothing: then the parts of prompts aren't what it fails for.
-    pub fn verdict(&self, now: Time) -> Option<PartKey> {
+    pub fn part_to_withhold(&self, now: Time) -> Option<PartKey> {
         let is_due = |(key, it): &(&PartKey, &Suspicion)| {
             let decisive = it.moments.get(MIN_MOMENTS - 1);
             let answers = self.pool_answered.get(&key.pool) > it.moments.first();
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -187,7 +187,7 @@
         }
         self.expire_holders(now);
         self.allocate(now);
-        self.judge_parts(now);
+        self.update_withheld_parts(now);
         self.propose_cleanup(now);
         self.promote(now);
         self.answer_renewals(now);
--- a/crates/coord/tests/part_evidence.rs
+++ b/crates/coord/tests/part_evidence.rs
@@ -16,7 +16,7 @@
 /// How long it takes until an instance has learned of a suspect, and until its report of
 /// an answer has come; two renewals at the most.
 const RENEWAL_MS: u64 = 500;
-const DEADLY: &str = "bad";
+const POISON: &str = "bad";
 /// After the fifth crash and this time no more than `MAX_LATE` requests with the part may
 /// arrive.
 const CONTACT: Millis = Millis(3000);
@@ -45,13 +45,13 @@
     IndexSet::new()
 }
 
-fn verdict(
+fn part_to_withhold(
     evidence: &mut PartEvidence,
     now: Time,
     withheld: &IndexSet<PartKey>,
 ) -> Option<PartKey> {
     evidence.tick(now, withheld);
-    evidence.verdict(now)
+    evidence.part_to_withhold(now)
 }
 
 #[test]
@@ -59,14 +59,18 @@
     let mut evidence = PartEvidence::default();
     for (number, other) in ["a", "b", "c", "d"].into_iter().enumerate() {
         let at = Time(1000 * (number as u64 + 1));
-        evidence.record_crash(at, &report(number as u64, &[other, DEADLY], true));
+        evidence.record_crash(at, &report(number as u64, &[other, POISON], true));
         evidence.record_crash(at, &report(number as u64, &["first", other], false));
     }
 
     evidence.record_answer(Time(4050), &key("a"));
 
-    assert_eq!(verdict(&mut evidence, Time(4100), &none()), None, "answers may still be reported");
-    assert_eq!(verdict(&mut evidence, Time(5000), &none()), Some(key(DEADLY)));
+    assert_eq!(
+        part_to_withhold(&mut evidence, Time(4100), &none()),
+        None,
+        "answers may still be reported"
+    );
+    assert_eq!(part_to_withhold(&mut evidence, Time(5000), &none()), Some(key(POISON)));
 }
 
 #[test]
@@ -76,20 +80,24 @@
         evidence.record_crash(Time(1000 * number), &report(number, &["first"], true));
     }
 
-    assert_eq!(verdict(&mut evidence, Time(20_000), &none()), None);
+    assert_eq!(part_to_withhold(&mut evidence, Time(20_000), &none()), None);
 }
 
 #[test]
 fn the_part_that_fewer_requests_share_is_withheld_first() {
     let mut evidence = PartEvidence::default();
     for number in 1..=4 {
-        evidence.record_crash(Time(1000 * number), &report(number, &["first", DEADLY], true));
+        evidence.record_crash(Time(1000 * number), &report(number, &["first", POISON], true));
     }
     evidence.record_answer(Time(4000), &key("other"));
 
-    assert_eq!(verdict(&mut evidence, Time(5000), &none()), Some(key(DEADLY)));
-    let withheld: IndexSet<PartKey> = [key(DEADLY)].into_iter().collect();
-    assert_eq!(verdict(&mut evidence, Time(9000), &withheld), None, "it explains all the crashes");
+    assert_eq!(part_to_withhold(&mut evidence, Time(5000), &none()), Some(key(POISON)));
+    let withheld: IndexSet<PartKey> = [key(POISON)].into_iter().collect();
+    assert_eq!(
+        part_to_withhold(&mut evidence, Time(9000), &withheld),
+        None,
+        "it explains all the crashes"
+    );
     assert!(evidence.suspects().is_empty());
 }
 
@@ -101,7 +109,7 @@
         evidence.record_answer(Time(1000 * number + 400), &key("first"));
     }
 
-    assert_eq!(verdict(&mut evidence, Time(9000), &none()), None);
+    assert_eq!(part_to_withhold(&mut evidence, Time(9000), &none()), None);
 }
 
 #[test]
@@ -112,7 +120,7 @@
     }
     evidence.record_answer(Time(1500), &key("other"));
 
-    assert_eq!(verdict(&mut evidence, Time(9000), &none()), None);
+    assert_eq!(part_to_withhold(&mut evidence, Time(9000), &none()), None);
 }
 
 #[test]
@@ -121,16 +129,16 @@
     let withheld: IndexSet<PartKey> = [key("worse")].into_iter().collect();
     for number in 1..=4 {
         let at = Time(1000 * number);
-        evidence.record_crash(at, &report(number, &["first", DEADLY], true));
+        evidence.record_crash(at, &report(number, &["first", POISON], true));
         evidence.record_crash(at, &report(10 + number, &["first", "worse"], true));
     }
 
     evidence.record_answer(Time(4000), &key("other"));
 
-    assert_eq!(verdict(&mut evidence, Time(5000), &withheld), Some(key(DEADLY)));
+    assert_eq!(part_to_withhold(&mut evidence, Time(5000), &withheld), Some(key(POISON)));
 }
 
-/// A simulated pool under sound requests and, from some time on, deadly ones.
+/// A simulated pool under sound requests and, from some time on, poison ones.
 struct Pool {
     rng: StdRng,
     now: Time,
@@ -141,7 +149,7 @@
     answers: Vec<(Time, PartKey)>,
     /// Since when the leader has suspected each part.
     suspected: Vec<(PartKey, Time)>,
-    deadly_crashes: Vec<Time>,
+    poison_crashes: Vec<Time>,
 }
 
 impl Pool {
@@ -151,20 +159,20 @@
         [format!("first{first}"), format!("session{}", self.rng.random_range(0..60))]
     }
 
-    fn crash(&mut self, deadly: bool) {
+    fn crash(&mut self, poison: bool) {
         self.last_incarnation += 1;
         let incarnation = self.last_incarnation;
         for _ in 0..self.rng.random_range(0..4) {
             let parts = self.sound_parts();
-            let began = !deadly && self.rng.random_bool(0.3);
+            let began = !poison && self.rng.random_bool(0.3);
             let parts = [parts[0].as_str(), parts[1].as_str()];
             self.evidence.record_crash(self.now, &report(incarnation, &parts, began));
         }
-        if deadly {
+        if poison {
             let first = self.sound_parts()[0].clone();
-            let it = report(incarnation, &[&first, DEADLY], true);
+            let it = report(incarnation, &[&first, POISON], true);
             self.evidence.record_crash(self.now, &it);
-            self.deadly_crashes.push(self.now);
+            self.poison_crashes.push(self.now);
         }
     }
 
@@ -199,17 +207,17 @@
                 self.suspected.push((it, now));
             }
         }
-        if let Some(key) = self.evidence.verdict(now) {
+        if let Some(key) = self.evidence.part_to_withhold(now) {
             self.withheld.insert(key);
         }
     }
 }
 
 #[test]
-fn simulated_pools_withhold_the_deadly_part_in_time_and_no_other() {
+fn simulated_pools_withhold_the_poison_part_in_time_and_no_other() {
     for seed in 0..SEEDS {
         let mut rng = StdRng::seed_from_u64(seed);
-        let deadly_rate = rng.random_range(0.3..4.0) * STEP.0 as f64 / 1000.0;
+        let poison_rate = rng.random_range(0.3..4.0) * STEP.0 as f64 / 1000.0;
         let own_rate = rng.random_range(0.0..0.3) * STEP.0 as f64 / 1000.0;
         let sound_per_step = rng.random_range(1..4);
         let mut pool = Pool {
@@ -220,24 +228,24 @@
             last_incarnation: 0,
             answers: Vec::new(),
             suspected: Vec::new(),
-            deadly_crashes: Vec::new(),
+            poison_crashes: Vec::new(),
         };
         for _ in 0..800 {
             (0..sound_per_step).for_each(|_| pool.answer());
             if pool.rng.random_bool(own_rate) {
                 pool.crash(false);
             }
-            let sent = pool.rng.random_bool(deadly_rate);
-            if sent && !pool.withheld.contains(&key(DEADLY)) {
+            let sent = pool.rng.random_bool(poison_rate);
+            if sent && !pool.withheld.contains(&key(POISON)) {
                 pool.crash(true);
             }
             pool.step();
         }
-        let sound: Vec<&PartKey> = pool.withheld.iter().filter(|it| **it != key(DEADLY)).collect();
+        let sound: Vec<&PartKey> = pool.withheld.iter().filter(|it| **it != key(POISON)).collect();
         assert!(sound.is_empty(), "seed {seed}: withheld {sound:?}");
-        if let Some(fifth) = pool.deadly_crashes.get(4) {
+        if let Some(fifth) = pool.poison_crashes.get(4) {
             let bound = *fifth + CONTACT;
-            let late = pool.deadly_crashes.iter().filter(|it| **it > bound).count();
+            let late = pool.poison_crashes.iter().filter(|it| **it > bound).count();
             assert!(late <= MAX_LATE, "seed {seed}: {late} crashes more");
         }
     }
--- a/crates/harness/tests/crashing_prompts.rs
+++ b/crates/harness/tests/crashing_prompts.rs
@@ -19,7 +19,7 @@
 };
 
 const SIGKILL: i32 = 9;
-const DEADLY_PART: &str = "bad";
+const POISON_PART: &str = "bad";
 const VOTERS: usize = 3;
 const INSTANCES: usize = 6;
 const ENDPOINTS: usize = 10;
@@ -51,7 +51,7 @@
         };
         let cluster = spec.start();
         let spec = CrashSpec {
-            deadly_part: DEADLY_PART.to_owned(),
+            poison_part: POISON_PART.to_owned(),
             prefill: Duration::from_millis(30),
             begin: Duration::from_millis(30),
             down: Duration::from_millis(1500),
@@ -123,9 +123,9 @@
     }
 }
 
-/// Runs sound and deadly requests side by side for a time; returns the outcomes of the
+/// Runs sound and poison requests side by side for a time; returns the outcomes of the
 /// sound ones.
-fn run_beside(system: &System, time: Duration, deadly: bool) -> Vec<Outcome> {
+fn run_beside(system: &System, time: Duration, poison: bool) -> Vec<Outcome> {
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| {
@@ -134,9 +134,9 @@
                 thread::sleep(ANNOUNCE_INTERVAL);
             }
         });
-        if deadly {
+        if poison {
             scope.spawn(|| {
-                system.send(|_| DEADLY_PART.to_owned(), Duration::from_millis(150), &stop)
+                system.send(|_| POISON_PART.to_owned(), Duration::from_millis(150), &stop)
             });
         }
         let sound = scope.spawn(|| {
@@ -155,7 +155,7 @@
     if let Some(fifth) = crashes.get(MAX_CRASHES - 1) {
         let bound = *fifth + CONTACT;
         let arrivals = system.endpoints.iter().flat_map(|it| it.arrivals());
-        let late = arrivals.filter(|it| it.deadly && it.at > bound).count();
+        let late = arrivals.filter(|it| it.poison && it.at > bound).count();
         assert!(late <= MAX_LATE, "{late} more requests arrived; {} crashes", crashes.len());
     }
     let last = *crashes.last().expect("the part crashes endpoints until it is known");
--- a/crates/standin/src/crashing.rs
+++ b/crates/standin/src/crashing.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone)]
 pub struct CrashSpec {
     /// The id of the part of a prompt that crashes it.
-    pub deadly_part: String,
+    pub poison_part: String,
     /// The time from a request to the head of its answer.
     pub prefill: Duration,
     /// The time from the head to the first event, at which it crashes or goes on.
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone)]
 pub struct Arrival {
     pub at: Instant,
-    pub deadly: bool,
+    pub poison: bool,
 }
 
 /// A running endpoint.
@@ -124,8 +124,8 @@
         while let Some(request) = read_request(&mut stream) {
             let parts = request.header("mangobend-parts").unwrap_or_default();
             let mut ids = parts.split(',').map(|it| it.split(':').next().unwrap_or(it));
-            let deadly = ids.any(|it| it == self.spec.deadly_part);
-            lock(&self.arrivals).push(Arrival { at: request.at, deadly });
+            let poison = ids.any(|it| it == self.spec.poison_part);
+            lock(&self.arrivals).push(Arrival { at: request.at, poison });
             thread::sleep(self.spec.prefill);
             let id = request.header("mangobend-request").unwrap_or_default();
             let head = format!(
@@ -136,7 +136,7 @@
                 return;
             }
             thread::sleep(self.spec.begin);
-            if deadly {
+            if poison {
                 self.crash();
                 return;
             }
