Log the limits that endpoints name in their answers

The header of each answer is read now, and a line written when an endpoint first names a limit, changes it, ends it, or names one that isn't a number. No decision uses it yet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claims;
 pub mod control;
 pub mod ids;
+pub mod limits;
 pub mod packed;
 pub mod prelude;
 pub mod raft;
--- a/crates/daemon/src/answer_notices.rs
+++ b/crates/daemon/src/answer_notices.rs
@@ -1,7 +1,10 @@
 //! What an endpoint says of itself in the head of an answer.
 
 use {
-    coord::relay::{EndpointNotice, parse_pause},
+    coord::{
+        limits::{LimitNotice, parse_limit},
+        relay::{EndpointNotice, parse_pause},
+    },
     hyper::{
         Response, StatusCode,
         header::{HeaderName, RETRY_AFTER},
@@ -10,7 +13,10 @@
 
 /// The project's own header of an endpoint that is leaving.
 pub const LEAVING_HEADER: &str = "mangobend-leaving";
-/// The value of the header; with any other the endpoint isn't leaving.
+/// The project's own header of an endpoint that takes a limited number of requests a
+/// second.
+pub const LIMIT_HEADER: &str = "mangobend-limit";
+/// The value of the leaving header; with any other the endpoint isn't leaving.
 const LEAVING: &[u8] = b"1";
 
 /// Reads the notices from the head of an answer; `leaving` names the header of an
@@ -26,3 +32,15 @@
     let pause = wait.and_then(parse_pause).map(EndpointNotice::Pause);
     pause.into_iter().chain(is_leaving.then_some(EndpointNotice::Leaving))
 }
+
+/// Reads the limit from the head of an answer; `limit` names its header. Of several
+/// values the lowest counts.
+pub fn read_limit<B>(response: &Response<B>, limit: &HeaderName) -> LimitNotice {
+    let values = || response.headers().get_all(limit).iter();
+    let parsed = values().filter_map(|it| it.to_str().ok()).filter_map(parse_limit);
+    match parsed.min() {
+        Some(rate) => LimitNotice::Named(rate),
+        None if values().next().is_some() => LimitNotice::Unreadable,
+        None => LimitNotice::Absent,
+    }
+}
--- a/crates/daemon/src/relay/dialect.rs
+++ b/crates/daemon/src/relay/dialect.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{Handle, PieceResult},
-    crate::answer_notices::LEAVING_HEADER,
+    crate::answer_notices::{LEAVING_HEADER, LIMIT_HEADER},
     coord::time::Millis,
     hyper::header::{AUTHORIZATION, HeaderName},
     serde::{Deserialize, Serialize},
@@ -28,6 +28,8 @@
     pub not_run: HeaderName,
     /// `1` if the endpoint is leaving.
     pub leaving: HeaderName,
+    /// The requests a second that the endpoint takes from all instances together.
+    pub limit: HeaderName,
     /// Parts of the prompt in order, as comma-separated `ID:TOKENS`.
     pub parts: HeaderName,
     /// Comma-separated numbers of pieces, one per stage.
@@ -110,6 +112,7 @@
             signature: name("mangobend-signature"),
             not_run: name("mangobend-not-run"),
             leaving: name(LEAVING_HEADER),
+            limit: name(LIMIT_HEADER),
             parts: name("mangobend-parts"),
             pieces: name("mangobend-pieces"),
             source: name("mangobend-source"),
--- a/crates/daemon/src/relay/notices.rs
+++ b/crates/daemon/src/relay/notices.rs
@@ -2,14 +2,16 @@
 
 use {
     super::{HeaderNames, clock::time_since},
-    crate::answer_notices::read_notices,
+    crate::answer_notices::{read_limit, read_notices},
     coord::{
-        ids::EndpointName,
+        ids::{EndpointName, Generation, Rate},
+        limits::LimitNotice,
         relay::{EndpointNotice, EndpointNotices},
         tables::{Endpoint, Tables},
         time::{Millis, Time},
     },
     hyper::{Response, header::HeaderName},
+    indexmap::IndexMap,
     metrics::counter,
     std::{
         cell::{Cell, Ref, RefCell},
@@ -21,6 +23,9 @@
 pub struct Notices {
     table: RefCell<EndpointNotices>,
     leaving: HeaderName,
+    limit: HeaderName,
+    /// The limits that endpoints name at present.
+    limits: RefCell<IndexMap<EndpointName, (Generation, Rate)>>,
     /// Up to when ended pauses are logged.
     swept: Cell<Time>,
     start: Instant,
@@ -32,6 +37,8 @@
         Self {
             table: RefCell::new(EndpointNotices::new(leave_grace)),
             leaving: names.leaving.clone(),
+            limit: names.limit.clone(),
+            limits: RefCell::default(),
             swept: Cell::new(Time(0)),
             start,
         }
@@ -50,11 +57,13 @@
     /// Drops the notices of incarnations that are no longer in the tables.
     pub fn reload(&self, tables: &Tables) {
         self.table.borrow_mut().reload(tables.endpoints.values());
+        self.limits.borrow_mut().retain(|name, _| tables.endpoints.contains_key(name));
     }
 
     /// Reads the head of an endpoint's answer. Returns whether the endpoint has just
     /// said that it is leaving.
     pub fn read<B>(&self, endpoint: &Endpoint, response: &Response<B>) -> bool {
+        self.note_limit(endpoint, read_limit(response, &self.limit));
         let mut newly_leaving = false;
         for notice in read_notices(response, &self.leaving) {
             match notice {
@@ -74,6 +83,37 @@
         }
     }
 
+    /// Logs a limit that an endpoint names for the first time, changes or ends.
+    fn note_limit(&self, endpoint: &Endpoint, notice: LimitNotice) {
+        let mut limits = self.limits.borrow_mut();
+        let known = limits.get(&endpoint.name).filter(|it| it.0 == endpoint.generation);
+        let before = known.map(|it| it.1);
+        let limit = match notice {
+            LimitNotice::Named(limit) => Some(limit),
+            LimitNotice::Absent => None,
+            LimitNotice::Unreadable => {
+                log::info!(
+                    endpoint = endpoint.name.as_str(), generation:% = endpoint.generation;
+                    "[relay] limit of an endpoint isn't a number"
+                );
+                return;
+            }
+        };
+        if limit == before {
+            return;
+        }
+        match limit {
+            Some(it) => limits.insert(endpoint.name.clone(), (endpoint.generation, it)),
+            None => limits.swap_remove(&endpoint.name),
+        };
+        log::info!(
+            endpoint = endpoint.name.as_str(), generation:% = endpoint.generation,
+            limit_milli = limit.map_or(-1, |it| it.0 as i64),
+            before_milli = before.map_or(-1, |it| it.0 as i64);
+            "[relay] limit of an endpoint"
+        );
+    }
+
     fn note_pause(&self, endpoint: &Endpoint, pause: Millis) {
         let now = time_since(self.start);
         let until =
