Add failing tests of endpoints that name a limit

Stand-ins name in their answers how many requests a second they take. Eight real instances send them far more: 79 in 4 s where 11 are allowed. They check the bound of the users' rule, through a change of leader, a cut, a freeze and a restart, for limits that change, end or are no number, and for calls of stages.

--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -27,8 +27,8 @@
     process::{Proc, wait_until},
     proxy::{Fault, Proxy},
     relayed::{
-        RawResponse, connect, exchange, read_response, relay_catalog, relay_endpoint,
-        relay_request, relay_route,
+        RawResponse, announce, connect, exchange, read_response, relay_catalog, relay_endpoint,
+        relay_request, relay_route, try_exchange,
     },
     stand_ins::StandIns,
     temp::TempDir,
--- a/crates/harness/src/relayed.rs
+++ b/crates/harness/src/relayed.rs
@@ -193,17 +193,32 @@
     }
 }
 
+/// Announces an endpoint once at the endpoints' listener of a daemon. Returns whether
+/// the daemon accepted the announcement.
+pub fn announce(addr: SocketAddr, endpoint: &Endpoint) -> bool {
+    let config = Agent::config_builder().timeout_global(Some(ANNOUNCE_TIMEOUT)).proxy(None);
+    let body = Announcement { endpoint: endpoint.clone(), load: 0 };
+    let url = format!("http://{addr}/v1/announce");
+    config.build().new_agent().post(url).send_json(&body).is_ok()
+}
+
+/// Sends a request on a new connection and reads the response; nothing if no relay
+/// listens at the address or reads the request.
+pub fn try_exchange(addr: SocketAddr, request: &str) -> Option<RawResponse> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    Some(read_response(&mut stream))
+}
+
 impl Daemon {
     /// Announces an endpoint to the daemon once.
     ///
     /// # Panics
     /// If the daemon doesn't accept the announcement.
     pub fn announce(&self, endpoint: &Endpoint) {
-        let config = Agent::config_builder().timeout_global(Some(ANNOUNCE_TIMEOUT)).proxy(None);
-        let body = Announcement { endpoint: endpoint.clone(), load: 0 };
-        let url = format!("http://{}/v1/announce", self.addrs.endpoint);
-        let sent = config.build().new_agent().post(url).send_json(&body);
-        sent.expect("the announcement is accepted");
+        let accepted = announce(self.addrs.endpoint, endpoint);
+        assert!(accepted, "the announcement is accepted");
     }
 
     /// The address of the relay's listener.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod endpoint;
 mod framed_answer;
+mod limited;
 mod record;
 mod scripted;
 mod server;
@@ -16,6 +17,7 @@
     control::Control,
     crashing::{Arrival, CrashSpec, CrashingEndpoint},
     framed_answer::{AnswerEnd, AnswerFraming, FramedAnswer, signed_response},
+    limited::LimitedEndpoint,
     record::{Record, RunRecord},
     scripted::{ReceivedRequest, Script, ScriptedEndpoint, Step, header},
     spec::{EndpointSpec, Kind},
