--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -56,6 +56,7 @@
             if now >= ended + drain {
                 self.lease_ends.shift_remove(&it);
                 self.shares.remove(it);
+                self.limits.remove(it);
                 self.teams.remove(it);
             }
         }
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -10,6 +10,7 @@
             EndpointName, Generation, Incarnation, Index, NodeId, PoolName, Slots, TeamName, Term,
             Version,
         },
+        limits::{LimitReply, LimitRequest},
         packed::Packed,
         tables::{Delta, PartKey, Tables},
         time::Millis,
@@ -58,6 +59,9 @@
     /// Suspects that an endpoint has begun to answer here.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub answered: Vec<PartKey>,
+    /// `None` from an instance of an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<LimitRequest>,
     /// Whether the instance reads packed updates; earlier builds don't.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub packed: bool,
@@ -163,6 +167,8 @@
     /// name those that are answered all the same.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<PartKey>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<LimitReply>,
 }
 
 /// The reason for which a renewal is refused.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -8,11 +8,16 @@
     },
     crate::{
         ids::{Index, NodeId, Slots},
+        limits::{GRANT_VALIDITY, LimitListUpdate, LimitReply, LimitRequest},
         raft::Role,
         time::{Millis, Time},
     },
 };
 
+/// How much longer a new leader assumes the grants of an earlier one to be valid, to allow
+/// for clock drift.
+const GRANT_MARGIN: Millis = Millis(100);
+
 impl Voter {
     /// Checks whether this voter can answer a renewal of the sender now.
     pub(super) fn check_renewal(
@@ -44,6 +49,12 @@
         self.shares.confirm(holder, request.grants_number, &request.excess);
         self.shares.set_demand(holder, &request.demand);
         self.teams.report(holder, &request.teams);
+        if let Some(limits) = &request.limits {
+            for it in &limits.reports {
+                self.limits.record(now, it, &self.state.tables);
+            }
+            self.limits.add_demand(holder, &limits.demand);
+        }
         for it in &request.crashes {
             self.parts.record_crash(now, it);
         }
@@ -99,7 +110,7 @@
         }
         let changed = self.last_answered != (self.shares.revision(), self.feed.last());
         self.last_answered = (self.shares.revision(), self.feed.last());
-        let due = |it: &Renewal| changed || now >= it.deadline;
+        let due = |it: &Renewal| changed || now >= it.deadline || self.has_limit_news(now, it);
         let nodes = self.renewals.iter().filter(|(_, it)| due(it)).map(|(node, _)| *node);
         let nodes: Vec<NodeId> = nodes.collect();
         if nodes.is_empty() {
@@ -140,7 +151,8 @@
         }
         let has_update = it.request.applied < self.feed.last() || it.request.applied == Index(0);
         let first = self.leases.get(node).is_none_or(|row| row.until <= now + LEASE_DURATION);
-        if grants.is_none() && !has_update && !first && known && now < it.deadline {
+        let news = self.has_limit_news(now, it);
+        if grants.is_none() && !has_update && !first && known && !news && now < it.deadline {
             return;
         }
         let it = self.renewals.shift_remove(&node).expect("the renewal is pending");
@@ -151,10 +163,56 @@
             version: it.request.version,
         };
         self.leases.grant(now, node, row);
-        let reply = self.reply(&it.request, grants);
+        let mut reply = self.reply(&it.request, grants);
+        let held = now.since(it.received);
+        reply.limits = it.request.limits.as_ref().map(|limits| LimitReply {
+            list: self.limit_list_update(now, limits),
+            sends: self.limits.take_grants(holder),
+            held,
+        });
         self.completions.push(Completion::Renewal(it.token, Box::new(Ok(reply))));
     }
 
+    /// Divides sends to limited endpoints among the instances whose renewals wait for a
+    /// reply.
+    pub(super) fn grant_sends(&mut self, now: Time) {
+        let has_lease = self.raft.lease().is_some_and(|it| it > now);
+        self.knows_limits = self.knows_limits || self.may_know_limits(now);
+        if !has_lease || !self.knows_limits {
+            return;
+        }
+        let waiting = self.renewals.values().filter(|it| it.request.limits.is_some());
+        let ready = waiting.map(|it| holder_of(&it.request)).collect();
+        self.limits.grant(now, &ready);
+    }
+
+    /// Whether there is something new about limits for the sender of a renewal.
+    fn has_limit_news(&self, now: Time, renewal: &Renewal) -> bool {
+        let Some(limits) = &renewal.request.limits else {
+            return false;
+        };
+        self.limits.has_grants(holder_of(&renewal.request))
+            || matches!(self.limit_list_update(now, limits), LimitListUpdate::New(_))
+    }
+
+    fn limit_list_update(&self, now: Time, request: &LimitRequest) -> LimitListUpdate {
+        match self.knows_limits {
+            false => LimitListUpdate::Unknown,
+            true if request.list == self.limits.number() => LimitListUpdate::Same,
+            true => LimitListUpdate::New(self.limits.list(now)),
+        }
+    }
+
+    /// Whether this leader knows all limits, and no grant of an earlier one is valid. Each
+    /// instance reports what it knows to a new leader, or may have no lease any more.
+    pub(super) fn may_know_limits(&self, now: Time) -> bool {
+        let since = self.raft.leader_since();
+        let settled = since + LEASE_DURATION + LEASE_MARGIN;
+        let reported = |id: &NodeId| self.shares.holders().any(|it| it.node == *id);
+        let expired = since + GRANT_VALIDITY + GRANT_MARGIN;
+        now >= settled || now >= expired && self.state.tables.roster.keys().all(reported)
+    }
+
     fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
         let tables = &self.state.tables;
         let update = match request.packed {
@@ -180,6 +238,7 @@
             grants,
             want_holdings: !self.shares.contains(holder_of(request)),
             suspects: self.parts.suspects(),
+            limits: None,
         }
     }
 
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -8,6 +8,7 @@
     },
     crate::{
         ids::{Bytes, CatalogVersion, Index, NodeId, Slots, Term, Version},
+        limits::LimitTable,
         raft::{
             Config, Entry, Message, Payload, ProposeError, Raft, RestoredState, Role, Snapshot,
         },
@@ -62,6 +63,7 @@
 pub(super) struct Renewal {
     pub(super) token: Token,
     pub(super) request: RenewRequest,
+    pub(super) received: Time,
     pub(super) deadline: Time,
 }
 
@@ -84,6 +86,9 @@
     pub(super) shares: ShareTable,
     pub(super) teams: TeamTable,
     pub(super) endpoints: EndpointTable,
+    pub(super) limits: LimitTable,
+    /// Whether this leader knows all limits.
+    pub(super) knows_limits: bool,
     pub(super) parts: PartEvidence,
     /// When this leader first saw each withheld part, or proposed to withhold it.
     pub(super) withheld_since: IndexMap<PartKey, Time>,
@@ -119,6 +124,8 @@
             shares: ShareTable::default(),
             teams: TeamTable::default(),
             endpoints: EndpointTable::default(),
+            limits: LimitTable::default(),
+            knows_limits: false,
             parts: PartEvidence::default(),
             withheld_since: IndexMap::new(),
             lease_ends: IndexMap::new(),
@@ -190,7 +197,9 @@
         self.update_withheld_parts(now);
         self.propose_cleanup(now);
         self.promote(now);
+        self.grant_sends(now);
         self.answer_renewals(now);
+        self.limits.clear_grants();
     }
 
     /// Proposes a command. The result comes through [`Self::take_completions`].
@@ -287,7 +296,9 @@
         self.allocate(now);
         let node = request.node;
         let deadline = now + LONG_POLL;
-        if let Some(old) = self.renewals.insert(node, Renewal { token, request, deadline }) {
+        if let Some(old) =
+            self.renewals.insert(node, Renewal { token, request, received: now, deadline })
+        {
             self.completions
                 .push(Completion::Renewal(old.token, Box::new(Err(RenewError::Superseded))));
         }
@@ -300,6 +311,11 @@
         self.update_stats.take()
     }
 
+    /// Takes the number of sends to limited endpoints granted since the last call.
+    pub fn take_granted_sends(&mut self) -> u64 {
+        self.limits.take_count()
+    }
+
     /// Takes the completions since the last call.
     pub fn take_completions(&mut self) -> Vec<Completion> {
         std::mem::take(&mut self.completions)
@@ -396,6 +412,7 @@
                 self.shares.revoke(&name, None);
             }
             self.shares.mark_changed();
+            self.limits.reload(&self.state.tables);
             self.allocate(now);
             self.answer_renewals(now);
         }
@@ -434,6 +451,8 @@
         self.shares = ShareTable::default();
         self.teams = TeamTable::default();
         self.lease_ends.clear();
+        self.limits = LimitTable::start(self.raft.term());
+        self.knows_limits = false;
         self.parts = PartEvidence::default();
         self.withheld_since.clear();
         self.endpoints = EndpointTable::default();
--- /dev/null
+++ b/crates/coord/src/limits/limit_gate.rs
@@ -0,0 +1,286 @@
+//! An instance's side of the limits: which endpoints are limited, and what it may send
+//! to them.
+
+use {
+    super::{
+        LimitDemand, LimitList, LimitListUpdate, LimitNotice, LimitReply, LimitReport,
+        LimitRequest, SendGrant,
+    },
+    crate::{
+        ids::{EndpointName, Generation, Rate},
+        tables::Endpoint,
+        time::{Millis, Time},
+    },
+    indexmap::IndexMap,
+};
+
+/// How long a grant is valid. Together with the credit that the leader saves up, it keeps
+/// what arrives in 4 s below one and a half times the limit.
+pub const GRANT_VALIDITY: Millis = Millis(1000);
+
+/// What an answer said of the limit, until the leader has taken it into account.
+#[derive(Debug, Clone, Copy)]
+struct Observation {
+    /// `None`: the endpoint names no limit any more.
+    limit: Option<Rate>,
+    at: Time,
+    /// The first renewal that reported it; 0 before.
+    reported: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    sends: u32,
+    /// The limit that it was made under.
+    limit: Rate,
+    expires: Time,
+}
+
+#[derive(Debug, Default)]
+struct Row {
+    generation: Generation,
+    seen: Option<Observation>,
+    /// The limit in the leader's list, and when the endpoint named it.
+    listed: Option<(Rate, Time)>,
+    /// In the order in which they expire.
+    grants: Vec<Grant>,
+    /// Sends, and requests for a send without a grant, since the last renewal.
+    wanted: u32,
+}
+
+/// One send to an endpoint.
+#[derive(Debug)]
+pub struct SendPermit {
+    /// What it was taken from; nothing if the endpoint isn't limited.
+    grant: Option<(EndpointName, Generation, Grant)>,
+}
+
+/// A change of an endpoint's limit as this instance knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitChange {
+    pub before: Option<Rate>,
+    pub limit: Option<Rate>,
+}
+
+/// The limits that this instance knows, and the sends that it was granted.
+#[derive(Debug, Default)]
+pub struct LimitGate {
+    rows: IndexMap<EndpointName, Row>,
+    /// The incarnations in the tables.
+    generations: IndexMap<EndpointName, Generation>,
+    /// The number of the leader's list that is held.
+    list: u64,
+}
+
+impl LimitGate {
+    /// Drops the limits and grants of incarnations earlier than these endpoints.
+    pub fn reload<'a>(&mut self, endpoints: impl Iterator<Item = &'a Endpoint>) {
+        self.generations = endpoints.map(|it| (it.name.clone(), it.generation)).collect();
+        let generations = &self.generations;
+        self.rows.retain(|name, row| generations.get(name).is_some_and(|it| row.generation >= *it));
+    }
+
+    /// Takes in what an answer says. `sent` is when its request was sent: an answer
+    /// without a limit ends one only if it was asked for afterwards, since answers may
+    /// overtake each other. Returns a change of the limit.
+    pub fn note(
+        &mut self,
+        now: Time,
+        sent: Time,
+        name: &EndpointName,
+        generation: Generation,
+        notice: LimitNotice,
+    ) -> Option<LimitChange> {
+        if self.generations.get(name) != Some(&generation) {
+            return None;
+        }
+        let before = self.limit(name);
+        match notice {
+            LimitNotice::Named(limit) => {
+                let row = self.row(name, generation);
+                if before != Some(limit) {
+                    row.seen = Some(Observation { limit: Some(limit), at: now, reported: 0 });
+                    row.lower_grants(limit);
+                } else if let Some((_, at)) = &mut row.listed {
+                    *at = now;
+                } else if let Some(seen) = &mut row.seen {
+                    seen.at = now;
+                }
+            }
+            LimitNotice::Absent if before.is_some() => {
+                let row = self.row(name, generation);
+                if row.named_at().is_some_and(|it| sent <= it) {
+                    return None;
+                }
+                row.seen = Some(Observation { limit: None, at: sent, reported: 0 });
+            }
+            LimitNotice::Absent | LimitNotice::Unreadable => {}
+        }
+        let limit = self.limit(name);
+        (limit != before).then_some(LimitChange { before, limit })
+    }
+
+    /// Returns the limit of an endpoint, if it has one. One that this instance has read
+    /// to have ended counts until the leader's list is without it.
+    pub fn limit(&self, name: &EndpointName) -> Option<Rate> {
+        let row = self.rows.get(name)?;
+        if self.generations.get(name) != Some(&row.generation) {
+            return None;
+        }
+        let seen = row.seen.and_then(|it| it.limit);
+        seen.or(row.listed.map(|(limit, _)| limit))
+    }
+
+    /// Whether a send to an endpoint is possible now.
+    pub fn may_send(&self, now: Time, name: &EndpointName) -> bool {
+        let granted = |row: &Row| row.grants.iter().any(|it| it.sends > 0 && it.expires > now);
+        self.limit(name).is_none() || self.rows.get(name).is_some_and(granted)
+    }
+
+    /// Takes one send to an endpoint; nothing if it is limited and none is granted.
+    pub fn take(&mut self, now: Time, name: &EndpointName) -> Option<SendPermit> {
+        if self.limit(name).is_none() {
+            return Some(SendPermit { grant: None });
+        }
+        let row = self.rows.get_mut(name)?;
+        row.wanted += 1;
+        row.grants.retain(|it| it.sends > 0 && it.expires > now);
+        let first = row.grants.first_mut()?;
+        first.sends -= 1;
+        let one = Grant { sends: 1, ..*first };
+        Some(SendPermit { grant: Some((name.clone(), row.generation, one)) })
+    }
+
+    /// Returns a send that was not used: no byte of it has left.
+    pub fn put_back(&mut self, permit: SendPermit) {
+        let Some((name, generation, grant)) = permit.grant else {
+            return;
+        };
+        if let Some(row) = self.rows.get_mut(&name).filter(|it| it.generation == generation) {
+            row.grants.insert(0, grant);
+        }
+    }
+
+    /// Counts a request that another send to an endpoint would have served.
+    pub fn want(&mut self, name: &EndpointName) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.wanted += 1;
+        }
+    }
+
+    /// Whether an answer has said something that no renewal has reported.
+    pub fn has_news(&self) -> bool {
+        self.rows.values().any(|it| it.seen.is_some_and(|seen| seen.reported == 0))
+    }
+
+    /// Returns the part of a renewal about limits. `seq` is the renewal's number, and
+    /// `whole` whether the leader asked for all that is known.
+    pub fn request(&mut self, now: Time, seq: u64, whole: bool) -> LimitRequest {
+        let mut request = LimitRequest { list: self.list, ..LimitRequest::default() };
+        for (name, row) in &mut self.rows {
+            let known = match (&mut row.seen, row.listed) {
+                (Some(seen), _) => {
+                    seen.reported = if seen.reported == 0 { seq } else { seen.reported };
+                    Some((seen.limit, seen.at))
+                }
+                (None, Some((limit, at))) if whole => Some((Some(limit), at)),
+                (None, _) => None,
+            };
+            if let Some((limit, at)) = known {
+                let (endpoint, generation) = (name.clone(), row.generation);
+                let age = now.since(at);
+                request.reports.push(LimitReport { endpoint, generation, limit, age });
+            }
+            let sends = std::mem::take(&mut row.wanted);
+            if sends > 0 {
+                request.demand.push(LimitDemand { endpoint: name.clone(), sends });
+            }
+        }
+        request
+    }
+
+    /// Applies the reply to renewal `seq`, which was sent at `asked`. Returns the limits
+    /// that changed by it.
+    pub fn apply(
+        &mut self,
+        now: Time,
+        asked: Time,
+        seq: u64,
+        reply: LimitReply,
+    ) -> Vec<(EndpointName, LimitChange)> {
+        let names: Vec<EndpointName> = self.generations.keys().cloned().collect();
+        let before: Vec<Option<Rate>> = names.iter().map(|it| self.limit(it)).collect();
+        let accounted = match reply.list {
+            LimitListUpdate::Unknown => false,
+            LimitListUpdate::Same => true,
+            // A late reply of an earlier leader has a lower number.
+            LimitListUpdate::New(list) if list.number <= self.list => false,
+            LimitListUpdate::New(list) => {
+                self.set_list(now, list);
+                true
+            }
+        };
+        if accounted {
+            for row in self.rows.values_mut() {
+                row.seen = row.seen.filter(|it| it.reported == 0 || it.reported > seq);
+            }
+        }
+        let expires = asked + reply.held + GRANT_VALIDITY;
+        if expires > now {
+            reply.sends.iter().for_each(|it| self.add_grant(it, expires));
+        }
+        self.rows.retain(|_, row| row.seen.is_some() || row.listed.is_some());
+        let after = names.iter().map(|it| self.limit(it));
+        let changes: Vec<LimitChange> = before
+            .into_iter()
+            .zip(after)
+            .map(|(before, limit)| LimitChange { before, limit })
+            .collect();
+        names.into_iter().zip(changes).filter(|(_, it)| it.before != it.limit).collect()
+    }
+
+    fn set_list(&mut self, now: Time, list: LimitList) {
+        self.list = list.number;
+        self.rows.values_mut().for_each(|it| it.listed = None);
+        for it in list.limits {
+            let row = self.row(&it.endpoint, it.generation);
+            row.listed = Some((it.limit, Time(now.0.saturating_sub(it.age.0))));
+            row.lower_grants(it.limit);
+        }
+    }
+
+    fn add_grant(&mut self, grant: &SendGrant, expires: Time) {
+        let limit = self.limit(&grant.endpoint).unwrap_or(grant.limit);
+        let row = self.rows.get_mut(&grant.endpoint);
+        if let Some(row) = row.filter(|it| it.generation == grant.generation) {
+            row.grants.push(Grant { sends: grant.sends, limit: grant.limit, expires });
+            row.grants.sort_by_key(|it| it.expires);
+            row.lower_grants(limit);
+        }
+    }
+
+    /// Returns the row of an incarnation, in place of one of an earlier one.
+    fn row(&mut self, name: &EndpointName, generation: Generation) -> &mut Row {
+        let row = self.rows.entry(name.clone()).or_default();
+        if row.generation < generation {
+            *row = Row { generation, ..Row::default() };
+        }
+        row
+    }
+}
+
+impl Row {
+    /// When the endpoint last named a limit.
+    fn named_at(&self) -> Option<Time> {
+        let seen = self.seen.filter(|it| it.limit.is_some()).map(|it| it.at);
+        seen.max(self.listed.map(|(_, at)| at))
+    }
+
+    /// Scales down the grants that were made under a higher limit.
+    fn lower_grants(&mut self, limit: Rate) {
+        for it in self.grants.iter_mut().filter(|it| it.limit > limit) {
+            it.sends = (u64::from(it.sends) * limit.0 / it.limit.0) as u32;
+            it.limit = limit;
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/src/limits/limit_table.rs
@@ -0,0 +1,233 @@
+//! The leader's side of the limits: which endpoints are limited, and who may send.
+
+use {
+    super::{EndpointLimit, LimitDemand, LimitList, LimitReport, SendGrant},
+    crate::{
+        control::ShareHolder,
+        ids::{EndpointName, Generation, Rate, Term},
+        tables::Tables,
+        time::{Millis, Time},
+    },
+    indexmap::{IndexMap, IndexSet},
+    std::hash::{DefaultHasher, Hash, Hasher},
+};
+
+/// The time between two rounds of grants. Shorter ones cost more replies, longer ones let
+/// requests wait for the next.
+pub const GRANT_INTERVAL: Millis = Millis(200);
+/// For how long credit is saved up while no instance can be granted sends, at least for
+/// one send.
+pub const CREDIT_TIME: Millis = Millis(400);
+/// The rate at which an endpoint with a lower limit is sent to all the same: only its
+/// answers can tell that the limit has ended.
+pub const MIN_LIMIT: Rate = Rate(100);
+
+/// The credit that one send costs, in thousandths of a send per second times
+/// milliseconds.
+const SEND_CREDIT: u64 = 1_000_000;
+/// The part of an instance's demand that is kept from one round to the next.
+const DEMAND_DECAY: f64 = 0.8;
+/// The demand that each instance is assumed to have, so that one without any gets a send
+/// now and then and can serve its first request.
+const BASE_DEMAND: f64 = 0.05;
+
+/// The claim of one instance to the sends of an endpoint.
+#[derive(Debug, Default)]
+struct Turn {
+    demand: f64,
+    /// The sends that it is due and hasn't got.
+    due: f64,
+}
+
+#[derive(Debug)]
+struct Row {
+    generation: Generation,
+    /// `None` after a limit has ended; the row stays, so that late reports don't bring it
+    /// back.
+    limit: Option<Rate>,
+    /// When the endpoint said so.
+    at: Time,
+    credit: u64,
+    filled_at: Time,
+    turns: IndexMap<ShareHolder, Turn>,
+}
+
+/// The limits by endpoint, and grants that are yet to be sent.
+#[derive(Debug, Default)]
+pub struct LimitTable {
+    rows: IndexMap<EndpointName, Row>,
+    number: u64,
+    granted_at: Time,
+    grants: IndexMap<ShareHolder, IndexMap<EndpointName, SendGrant>>,
+    /// The sends granted since they were last taken for the log.
+    count: u64,
+}
+
+impl LimitTable {
+    /// Creates the table of a voter that leads in `term`. Its lists have higher numbers
+    /// than those of earlier leaders.
+    pub fn start(term: Term) -> Self {
+        Self { number: (term.0 << 32) + 1, ..Self::default() }
+    }
+
+    /// Takes in what an instance reports. Of contradicting reports that of the latest
+    /// answer counts.
+    pub fn record(&mut self, now: Time, report: &LimitReport, tables: &Tables) {
+        let endpoint = tables.endpoints.get(&report.endpoint);
+        if endpoint.is_none_or(|it| it.generation != report.generation) {
+            return;
+        }
+        let at = Time(now.0.saturating_sub(report.age.0));
+        let row = self.rows.entry(report.endpoint.clone()).or_insert_with(|| Row {
+            generation: report.generation,
+            limit: None,
+            at: Time(0),
+            credit: 0,
+            filled_at: now,
+            turns: IndexMap::new(),
+        });
+        if at < row.at {
+            return;
+        }
+        row.at = at;
+        if row.limit != report.limit {
+            row.refill(now);
+            row.limit = report.limit;
+            self.number += 1;
+        }
+    }
+
+    /// Adds to the demand of an instance.
+    pub fn add_demand(&mut self, holder: ShareHolder, demand: &[LimitDemand]) {
+        for it in demand {
+            if let Some(row) = self.rows.get_mut(&it.endpoint) {
+                row.turns.entry(holder).or_default().demand += f64::from(it.sends);
+            }
+        }
+    }
+
+    /// Drops the limits of incarnations that are no longer in the tables.
+    pub fn reload(&mut self, tables: &Tables) {
+        let count = self.rows.len();
+        self.rows.retain(|name, row| {
+            tables.endpoints.get(name).is_some_and(|it| it.generation == row.generation)
+        });
+        self.number += u64::from(self.rows.len() < count);
+    }
+
+    /// The number of the current list.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns all limits.
+    pub fn list(&self, now: Time) -> LimitList {
+        let limited = self.rows.iter().filter_map(|(name, row)| Some((name, row, row.limit?)));
+        let limits = limited.map(|(name, row, limit)| EndpointLimit {
+            endpoint: name.clone(),
+            generation: row.generation,
+            limit,
+            age: now.since(row.at),
+        });
+        LimitList { number: self.number, limits: limits.collect() }
+    }
+
+    /// Divides the sends that the limits allow by now among instances that can be
+    /// answered at once, by their demand.
+    pub fn grant(&mut self, now: Time, ready: &IndexSet<ShareHolder>) {
+        if now.since(self.granted_at) < GRANT_INTERVAL || ready.is_empty() {
+            return;
+        }
+        self.granted_at = now;
+        for (name, row) in &mut self.rows {
+            row.refill(now);
+            let Some(limit) = row.limit else {
+                continue;
+            };
+            row.turns.values_mut().for_each(|it| it.demand *= DEMAND_DECAY);
+            while row.credit >= SEND_CREDIT {
+                row.credit -= SEND_CREDIT;
+                let holder = row.next_turn(name, ready);
+                let grants = self.grants.entry(holder).or_default();
+                let grant = grants.entry(name.clone()).or_insert_with(|| SendGrant {
+                    endpoint: name.clone(),
+                    generation: row.generation,
+                    limit,
+                    sends: 0,
+                });
+                grant.sends += 1;
+                self.count += 1;
+            }
+        }
+    }
+
+    /// Whether there are grants for an instance.
+    pub fn has_grants(&self, holder: ShareHolder) -> bool {
+        self.grants.contains_key(&holder)
+    }
+
+    /// Takes the grants for an instance. They count as spent.
+    pub fn take_grants(&mut self, holder: ShareHolder) -> Vec<SendGrant> {
+        let grants = self.grants.swap_remove(&holder).unwrap_or_default();
+        grants.into_values().collect()
+    }
+
+    /// Drops the grants that have not been taken.
+    pub fn clear_grants(&mut self) {
+        self.grants.clear();
+    }
+
+    /// Drops the demand of an instance that is gone.
+    pub fn remove(&mut self, holder: ShareHolder) {
+        self.rows.values_mut().for_each(|it| {
+            it.turns.swap_remove(&holder);
+        });
+    }
+
+    /// Takes the number of sends granted since the last call.
+    pub fn take_count(&mut self) -> u64 {
+        std::mem::take(&mut self.count)
+    }
+}
+
+impl Row {
+    /// Adds the credit of the time since the last call.
+    fn refill(&mut self, now: Time) {
+        let rate = self.limit.map_or(Rate(0), |it| it.max(MIN_LIMIT));
+        let most = (rate.0 * CREDIT_TIME.0).max(SEND_CREDIT);
+        let added = rate.0 * now.since(self.filled_at).0;
+        self.filled_at = now;
+        self.credit = match self.limit {
+            Some(_) => (self.credit + added).min(most),
+            None => 0,
+        };
+    }
+
+    /// Returns the instance that gets the next send: smooth weighted round-robin by
+    /// demand.
+    fn next_turn(&mut self, name: &EndpointName, ready: &IndexSet<ShareHolder>) -> ShareHolder {
+        for holder in ready {
+            let fresh = Turn { demand: 0.0, due: first_due(name, *holder) };
+            self.turns.entry(*holder).or_insert(fresh);
+        }
+        let demand = |it: &Turn| it.demand + BASE_DEMAND;
+        let sum: f64 = ready.iter().map(|it| demand(&self.turns[it])).sum();
+        for holder in ready {
+            let turn = &mut self.turns[holder];
+            turn.due += demand(turn) / sum;
+        }
+        let due = |it: &&ShareHolder| self.turns[*it].due;
+        let next = ready.iter().max_by(|a, b| due(a).total_cmp(&due(b)));
+        let next = *next.expect("the set isn't empty");
+        self.turns[&next].due -= 1.0;
+        next
+    }
+}
+
+/// What an instance is due at first, so that not the same one gets the first send of each
+/// endpoint.
+fn first_due(name: &EndpointName, holder: ShareHolder) -> f64 {
+    let mut hash = DefaultHasher::new();
+    (name, holder).hash(&mut hash);
+    hash.finish() as f64 / u64::MAX as f64
+}
--- a/crates/coord/src/limits/mod.rs
+++ b/crates/coord/src/limits/mod.rs
@@ -1,6 +1,24 @@
 //! Limits that endpoints name in their answers: how many requests a second they take
 //! from all instances together.
+//!
+//! Instances report what they read to the leader. The leader tells all of them which
+//! endpoints are limited and grants single sends, each for a short time. An instance
+//! sends nothing to a limited endpoint without a grant, so that the limit holds in sum
+//! whatever instances or leaders fail.
 
+mod limit_gate;
 mod limit_notice;
+mod limit_table;
+mod message;
+mod shared_gate;
 
-pub use limit_notice::{LimitNotice, MAX_LIMIT, parse_limit};
+pub use {
+    limit_gate::{GRANT_VALIDITY, LimitChange, LimitGate, SendPermit},
+    limit_notice::{LimitNotice, MAX_LIMIT, parse_limit},
+    limit_table::{CREDIT_TIME, GRANT_INTERVAL, LimitTable, MIN_LIMIT},
+    message::{
+        EndpointLimit, LimitDemand, LimitList, LimitListUpdate, LimitReply, LimitReport,
+        LimitRequest, SendGrant,
+    },
+    shared_gate::SharedGate,
+};
--- a/crates/coord/src/relay/attempts.rs
+++ b/crates/coord/src/relay/attempts.rs
@@ -64,6 +64,11 @@
         self.sends += 1;
     }
 
+    /// Takes back the record of a send that was not made.
+    pub fn forget_send(&mut self) {
+        self.sends = self.sends.saturating_sub(1);
+    }
+
     /// Whether any attempt may have run; the caller must then not be told that the
     /// request has not run.
     pub fn may_have_run(&self) -> bool {
--- a/crates/coord/src/relay/batch_queue.rs
+++ b/crates/coord/src/relay/batch_queue.rs
@@ -22,7 +22,8 @@
 use {
     crate::{
         catalog::BatchTerms,
-        ids::{Bytes, DomainName, EndpointName},
+        ids::{Bytes, DomainName, EndpointName, Rate},
+        limits::MIN_LIMIT,
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
@@ -89,6 +90,8 @@
     Full {
         refused: Bytes,
     },
+    /// Nothing was sent, since the endpoint takes no calls now.
+    NotSent,
     /// There was no response; the results count as lost.
     Failed,
 }
@@ -103,6 +106,8 @@
     paused_until: Time,
     /// Until when the endpoint wants no calls.
     withheld_until: Time,
+    /// The calls per 1000 seconds that it takes from all instances, if it is limited.
+    limit: Option<Rate>,
     /// Room, in bytes, that results of other batchers occupied when the endpoint
     /// was last full, and the time of that observation.
     foreign_used: (u64, Time),
@@ -151,6 +156,13 @@
         }
     }
 
+    /// Sets how many calls an endpoint takes, which bounds how fast the queue shrinks.
+    pub fn set_limit(&mut self, endpoint: &EndpointName, limit: Option<Rate>) {
+        if let Some(load) = self.loads.get_mut(endpoint) {
+            load.limit = limit;
+        }
+    }
+
     /// Whether there are endpoints, and none gets a call again.
     pub fn is_deserted(&self) -> bool {
         !self.loads.is_empty() && self.loads.values().all(|it| it.withheld_until == Self::NEVER)
@@ -277,10 +289,12 @@
                 let own = load.used.saturating_sub(refused.0);
                 load.foreign_used = (self.spec.result_capacity.0.saturating_sub(own), now);
             }
-            CallOutcome::Failed => {
-                load.failures += 1;
-                let pause = FAILED_PAUSE.0 << (load.failures - 1).min(8);
-                load.paused_until = now + Millis(pause.min(MAX_FAILED_PAUSE.0));
+            CallOutcome::NotSent | CallOutcome::Failed => {
+                if outcome == CallOutcome::Failed {
+                    load.failures += 1;
+                    let pause = FAILED_PAUSE.0 << (load.failures - 1).min(8);
+                    load.paused_until = now + Millis(pause.min(MAX_FAILED_PAUSE.0));
+                }
                 let size = call.pieces.iter().map(|it| it.size.0).sum();
                 load.used = load.used.saturating_sub(size);
             }
@@ -317,11 +331,17 @@
     }
 
     /// Time per piece, in milliseconds, if all endpoints run full calls in
-    /// parallel.
+    /// parallel, as many as their limits allow.
     fn piece_time(&self) -> f64 {
-        let full = self.spec.max_pieces.max(1);
-        let calls = f64::from(self.spec.slots.0.max(1)) * self.loads.len().max(1) as f64;
-        self.spec.max_call_duration().0 as f64 / (f64::from(full) * calls)
+        let full = f64::from(self.spec.max_pieces.max(1));
+        let duration = self.spec.max_call_duration().0.max(1) as f64;
+        let most = f64::from(self.spec.slots.0.max(1)) / duration;
+        let calls = |load: &EndpointLoad| match load.limit {
+            Some(limit) => most.min(limit.max(MIN_LIMIT).0 as f64 / 1_000_000.0),
+            None => most,
+        };
+        let sum: f64 = self.loads.values().map(calls).sum();
+        1.0 / (full * if self.loads.is_empty() { most } else { sum })
     }
 
     /// Estimates the occupied room of an endpoint, in bytes. The share of other
@@ -385,6 +405,7 @@
             failures: 0,
             paused_until: Time(0),
             withheld_until: Time(0),
+            limit: None,
             foreign_used: (0, Time(0)),
         }
     }
--- a/crates/coord/src/router/action.rs
+++ b/crates/coord/src/router/action.rs
@@ -9,6 +9,7 @@
             AttemptId, ClaimKey, Class, EndpointName, Fence, PoolName, RequestId, RouteName,
             StageName, TeamName, Tokens,
         },
+        limits::LimitNotice,
         relay::EndpointNotice,
         time::Millis,
     },
@@ -101,6 +102,8 @@
     },
     /// What the endpoint says of itself in the head of the answer; more events follow.
     Notice(EndpointNotice),
+    /// What the head of the answer says of the endpoint's limit; more events follow.
+    Limit(LimitNotice),
     /// The attempt failed. Unless `sent`, the endpoint cannot have begun it.
     Failed {
         sent: bool,
--- a/crates/coord/src/router/attempts.rs
+++ b/crates/coord/src/router/attempts.rs
@@ -48,6 +48,10 @@
             AttemptEvent::Notice(notice) => {
                 self.picker.note(now, &attempt.endpoint, attempt.generation, notice);
             }
+            AttemptEvent::Limit(notice) => {
+                let (endpoint, sent) = (&attempt.endpoint, attempt.started);
+                self.picker.note_limit(now, sent, endpoint, attempt.generation, notice);
+            }
             AttemptEvent::Refused { cold } => self.on_refused(now, id, cold),
             AttemptEvent::Failed { sent, detail } => self.on_failed(now, id, sent, &detail),
         }
@@ -61,7 +65,7 @@
             self.stats.late += 1;
             return;
         }
-        if matches!(event, AttemptEvent::Notice(_)) {
+        if matches!(event, AttemptEvent::Notice(_) | AttemptEvent::Limit(_)) {
             return;
         }
         if let Some(endpoint) = self.cancelling.shift_remove(&id) {
@@ -312,7 +316,9 @@
         self.cancelling.insert(id, attempt.endpoint.clone());
         let stage = self.requests[&attempt.request].stage().name.clone();
         let ident = AttemptIdent { request: attempt.request, stage, attempt: id };
-        if let Some(addr) = self.picker.addr(&attempt.endpoint) {
+        let addr = self.picker.addr(&attempt.endpoint);
+        // Without a send the call runs to its end.
+        if let Some(addr) = addr.filter(|_| self.picker.take_send(now, &attempt.endpoint)) {
             self.actions.push(Action::Cancel { ident, addr });
         }
     }
--- a/crates/coord/src/router/picker.rs
+++ b/crates/coord/src/router/picker.rs
@@ -4,6 +4,7 @@
     crate::{
         control::{Demand, EndpointReport, Grants, Holding},
         ids::{DomainName, EndpointName, Generation, PoolName, Slots},
+        limits::{LimitNotice, SharedGate},
         relay::{EndpointNotice, EndpointNotices},
         tables::{Endpoint, EndpointState, PoolKind, Tables},
         time::{Millis, Time},
@@ -91,6 +92,7 @@
 pub struct Picker {
     rows: IndexMap<EndpointName, Row>,
     notices: EndpointNotices,
+    gate: SharedGate,
     policy: Policy,
     last_turn: usize,
     rng: StdRng,
@@ -101,7 +103,13 @@
     pub fn new(policy: Policy, seed: u64) -> Self {
         let rng = StdRng::seed_from_u64(seed);
         let notices = EndpointNotices::new(LEAVE_GRACE);
-        Self { rows: IndexMap::new(), notices, policy, last_turn: 0, rng }
+        let gate = SharedGate::default();
+        Self { rows: IndexMap::new(), notices, gate, policy, last_turn: 0, rng }
+    }
+
+    /// Sets the gate that this instance's sends to limited endpoints pass.
+    pub fn set_gate(&mut self, gate: SharedGate) {
+        self.gate = gate;
     }
 
     /// Updates the rows from the replicated tables. Removed endpoints are kept
@@ -116,6 +124,7 @@
             row.reload(endpoint, tables);
         }
         self.notices.reload(tables.endpoints.values());
+        self.gate.lock().reload(tables.endpoints.values());
     }
 
     /// Records what an endpoint says of itself in an answer of this incarnation.
@@ -136,6 +145,19 @@
         }
     }
 
+    /// Takes in what an answer to a call that was sent at `sent` says of the limit of an
+    /// endpoint.
+    pub fn note_limit(
+        &mut self,
+        now: Time,
+        sent: Time,
+        name: &EndpointName,
+        generation: Generation,
+        notice: LimitNotice,
+    ) {
+        self.gate.lock().note(now, sent, name, generation, notice);
+    }
+
     /// Replaces all granted shares and updates the reported loads.
     pub fn grant(&mut self, grants: &Grants, loads: &[EndpointReport]) {
         for row in self.rows.values_mut() {
@@ -184,6 +206,7 @@
         free.retain(|i| self.penalty(*i, avoid, &failed_domains) == least);
         let at = self.choose(&free, prefix)?;
         let (name, row) = self.rows.get_index_mut(at)?;
+        self.gate.lock().take(now, name)?;
         row.in_flight += 1;
         row.sent_since += 1;
         row.last_prefix = prefix;
@@ -196,6 +219,26 @@
         (0..self.rows.len()).any(|i| self.is_free(now, i, pool, shares))
     }
 
+    /// Whether each endpoint of a pool in service names a limit, and this instance may
+    /// send to none of them now.
+    pub fn is_exhausted(&self, now: Time, pool: &PoolName) -> bool {
+        let gate = self.gate.lock();
+        let mut rows = self.rows.iter().filter(|(_, it)| it.pool == *pool && it.in_service);
+        self.has_endpoint(pool) && rows.all(|(name, _)| !gate.may_send(now, name))
+    }
+
+    /// Counts that a request could have been sent to an endpoint of a pool.
+    pub fn want(&mut self, pool: &PoolName) {
+        let mut gate = self.gate.lock();
+        let rows = self.rows.iter().filter(|(_, it)| it.pool == *pool && it.in_service);
+        rows.for_each(|(name, _)| gate.want(name));
+    }
+
+    /// Takes a send to an endpoint that isn't an attempt; false if none is granted.
+    pub fn take_send(&mut self, now: Time, name: &EndpointName) -> bool {
+        self.gate.lock().take(now, name).is_some()
+    }
+
     /// The number of slots of a pool that this instance may use.
     pub fn capacity(&self, pool: &PoolName) -> u32 {
         let rows = self.rows.values().filter(|it| it.pool == *pool && it.in_service);
@@ -287,7 +330,10 @@
     /// Whether an endpoint of a pool has a free slot and may be sent to.
     fn is_free(&self, now: Time, at: usize, pool: &PoolName, shares: bool) -> bool {
         let (name, row) = self.rows.get_index(at).expect("the row exists");
-        row.pool == *pool && row.is_free(now, shares) && self.notices.may_send(now, name)
+        row.pool == *pool
+            && row.is_free(now, shares)
+            && self.notices.may_send(now, name)
+            && self.gate.lock().may_send(now, name)
     }
 
     fn is_leaving(&self, at: usize) -> bool {
--- a/crates/coord/src/router/router.rs
+++ b/crates/coord/src/router/router.rs
@@ -10,6 +10,7 @@
     crate::{
         control::{Demand, EndpointFault, EndpointReport, FaultKind, Grants, Holding, TeamUse},
         ids::{AttemptId, EndpointName, Generation, PoolName, RequestId, TeamName},
+        limits::SharedGate,
         tables::Tables,
         time::{Millis, Time},
     },
@@ -86,6 +87,11 @@
         }
     }
 
+    /// Sets the gate that this instance's sends to limited endpoints pass.
+    pub fn set_gate(&mut self, gate: SharedGate) {
+        self.picker.set_gate(gate);
+    }
+
     /// Replaces the tables with a newer copy.
     pub fn reload(&mut self, tables: Arc<Tables>) {
         self.picker.reload(&tables);
@@ -226,6 +232,9 @@
         }
         for at in 0..self.queues.len() {
             let pool = self.queues.get_index(at).expect("the queue exists").0.clone();
+            if !self.queues[at].is_empty() && self.picker.is_exhausted(now, &pool) {
+                self.refuse_waiters(now, at, &pool);
+            }
             while self.picker.has_free(now, &pool) {
                 let Some(waiter) = self.queues[at].pop() else {
                     break;
@@ -235,6 +244,15 @@
         }
     }
 
+    /// Fails the requests that wait for a pool whose endpoints take no more now.
+    fn refuse_waiters(&mut self, now: Time, at: usize, pool: &PoolName) {
+        while let Some(waiter) = self.queues[at].pop() {
+            self.picker.want(pool);
+            let detail = "the pool's endpoints take fewer requests";
+            self.fail(now, waiter.request, Reason::Overload, detail);
+        }
+    }
+
     /// Starts the request's stage if the remaining stages are expected to meet
     /// the deadline.
     fn start_stage(&mut self, now: Time, id: RequestId) {
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -5,8 +5,10 @@
         claims::{ClaimOutcome, Settlement},
         control::{Grants, Holding},
         ids::{
-            ClaimKey, Class, EndpointName, Fence, Generation, RequestId, Slots, Tokens, Version,
+            ClaimKey, Class, EndpointName, Fence, Generation, Rate, RequestId, Slots, Tokens,
+            Version,
         },
+        limits::{LimitNotice, LimitReply, SendGrant, SharedGate},
         relay::EndpointNotice,
         router::{
             Action, AttemptEvent, AttemptIdent, EndpointCall, FairQueue, Finish, Limits,
@@ -43,8 +45,8 @@
     Route { name: name(text), stages: stages.iter().map(stage).collect(), deadline: Millis(4000) }
 }
 
-/// A router with a lease and two endpoints with `slots` granted slots each.
-fn router(slots: u32) -> Router {
+/// Tables with two routes and two endpoints.
+fn router_tables() -> Arc<Tables> {
     let mut tables = Tables::default();
     let edits = [
         Edit::PutPool(Pool { name: name("p"), kind: PoolKind::Model }),
@@ -55,8 +57,13 @@
     for it in [endpoint(1), endpoint(2)] {
         tables.endpoints.insert(it.name.clone(), it);
     }
+    Arc::new(tables)
+}
+
+/// A router with a lease and two endpoints with `slots` granted slots each.
+fn router(slots: u32) -> Router {
     let mut router = Router::new(Policy::Shares, Limits::default(), NOW, 1);
-    router.reload(Arc::new(tables));
+    router.reload(router_tables());
     let share = |it: &str| Holding { endpoint: name::<EndpointName>(it), slots: Slots(slots) };
     router.grant(&Grants { number: 1, shares: vec![share("e1"), share("e2")] }, &[]);
     router.set_leased(true);
@@ -432,3 +439,49 @@
     assert!(in_pause.is_empty(), "{in_pause:?}");
     assert_eq!(after.first().map(|it| &it.endpoint), Some(&sent.endpoint));
 }
+
+/// Has both endpoints name a limit of one request a second in answers to their first call.
+fn name_limits(router: &mut Router) -> Vec<EndpointCall> {
+    router.submit(NOW, submission("two"));
+    router.submit(NOW, submission("two"));
+    let calls = take_calls(router);
+    for it in &calls {
+        let limit = AttemptEvent::Limit(LimitNotice::Named(Rate(1000)));
+        router.on_attempt_event(NOW, it.ident.attempt, limit);
+    }
+    calls
+}
+
+#[test]
+fn a_request_is_refused_at_once_if_all_endpoints_are_at_their_limits() {
+    let mut router = router(1);
+    assert_eq!(name_limits(&mut router).len(), 2);
+
+    router.submit(NOW, submission("two"));
+
+    let finish = take_finish(&mut router);
+    assert_eq!(outcome(&finish), Outcome::NotRun);
+    assert!(finish.result.expect_err("a failure").retry_after.is_some());
+}
+
+#[test]
+fn calls_and_cancels_at_a_limited_endpoint_each_take_a_granted_send() {
+    let mut router = router(4);
+    let gate = SharedGate::default();
+    router.set_gate(gate.clone());
+    router.reload(router_tables());
+    let calls = name_limits(&mut router);
+    let (endpoint, generation) = (calls[0].endpoint.clone(), Generation(1));
+    let grant = SendGrant { endpoint: endpoint.clone(), generation, limit: Rate(1000), sends: 1 };
+    let reply = LimitReply { sends: vec![grant], ..LimitReply::default() };
+    gate.lock().apply(NOW, NOW, 1, reply);
+
+    router.submit(NOW, submission("two"));
+    let granted = take_calls(&mut router);
+    router.on_caller_gone(NOW, granted[0].ident.request);
+
+    assert_eq!(granted[0].endpoint, endpoint);
+    let cancels =
+        router.take_actions().into_iter().filter(|it| matches!(it, Action::Cancel { .. }));
+    assert_eq!(cancels.count(), 0, "no send is left for a cancel");
+}
--- a/crates/daemon/src/core/context.rs
+++ b/crates/daemon/src/core/context.rs
@@ -10,6 +10,7 @@
         telemetry::Meters,
     },
     coord::{
+        limits::SharedGate,
         raft::RestoredState,
         tables::{PartKey, Tables},
     },
@@ -39,6 +40,8 @@
     pub tables: watch::Sender<Arc<Tables>>,
     /// Publishes the parts of prompts under which endpoints have crashed.
     pub suspects: watch::Sender<Arc<IndexSet<PartKey>>>,
+    /// The gate that sends to limited endpoints pass.
+    pub gate: SharedGate,
     pub drain: Arc<DrainState>,
     pub start: Instant,
     /// Seeds the random number generators.
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -21,6 +21,7 @@
     coord::{
         control::{Completion, Envelope, LeaseHolder, PeerGuard, Token, Voter, first_voters},
         ids::{Class, Index, NodeId, RequestId, RouteName, TeamName, Term},
+        limits::SharedGate,
         raft::{Config, Role},
         router::{Limits, Router},
         tables::{PartKey, Tables},
@@ -99,6 +100,7 @@
     pub(super) ready: Arc<AtomicBool>,
     pub(super) tables: watch::Sender<Arc<Tables>>,
     pub(super) suspects: watch::Sender<Arc<IndexSet<PartKey>>>,
+    pub(super) gate: SharedGate,
     pub(super) drain: Arc<DrainState>,
     pub(super) stop: Option<Stop>,
     pub(super) exit: Option<ExitCode>,
@@ -120,7 +122,8 @@
             queue: context.settings.max_queue,
             flow: context.settings.max_queue.div_ceil(2),
         };
-        let router = Router::new(context.settings.policy, limits, now, context.seed);
+        let mut router = Router::new(context.settings.policy, limits, now, context.seed);
+        router.set_gate(context.gate.clone());
         let node = context.identity.node;
         let mut voter = restored.map(|it| Voter::new(node, it, now, context.seed));
         if let Some(voter) = &mut voter {
@@ -153,6 +156,7 @@
             ready: context.ready,
             tables: context.tables,
             suspects: context.suspects,
+            gate: context.gate,
             drain: context.drain,
             stop: None,
             exit: None,
@@ -394,6 +398,10 @@
             );
             self.meters.record_updates(&it);
         }
+        let sends = voter.take_granted_sends();
+        if sends > 0 {
+            log::info!(sends = sends; "[lease] sends to limited endpoints granted");
+        }
         for (follower, entries, size) in voter.raft().unacknowledged() {
             log::info!(
                 follower:% = follower, entries = entries, bytes = size.0;
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -6,7 +6,10 @@
         core::Pending,
         proposals::{Origin, Proposal},
     },
-    crate::peers::{Outgoing, PeerCall, PeerError},
+    crate::{
+        peers::{Outgoing, PeerCall, PeerError},
+        relay::log_limit,
+    },
     coord::{
         control::{
             CrashReport, EndpointFault, EndpointReport, PeerGuard, RenewError, RenewReply,
@@ -210,7 +213,9 @@
             return;
         }
         self.renewals.unsettled.faults.extend(self.router.take_faults());
-        let early = self.renewals.unsettled.is_urgent() || self.router.is_starved(now);
+        let early = self.renewals.unsettled.is_urgent()
+            || self.router.is_starved(now)
+            || self.gate.lock().has_news();
         let count = self.holder.tables().roster.len() as u64;
         let gap = Millis(EARLY_GAP.0 + count * EARLY_GAP_PER_INSTANCE.0);
         let early = early && now.since(self.renewals.sent_at) >= gap;
@@ -232,7 +237,7 @@
             return;
         }
         let unsettled = std::mem::take(&mut self.renewals.unsettled);
-        let request = self.renewal_request(unsettled.clone(), leaving);
+        let request = self.renewal_request(now, unsettled.clone(), leaving);
         let token = self.next_token();
         self.renewals.outstanding = Some((token, now));
         self.renewals.sent_at = now;
@@ -317,9 +322,10 @@
         }
     }
 
-    fn renewal_request(&mut self, unsettled: Unsettled, leaving: bool) -> RenewRequest {
+    fn renewal_request(&mut self, now: Time, unsettled: Unsettled, leaving: bool) -> RenewRequest {
         self.renewals.seq += 1;
         let wants_holdings = self.holder.want_holdings() || self.renewals.seq == 1;
+        let limits = self.gate.lock().request(now, self.renewals.seq, wants_holdings);
         RenewRequest {
             node: self.identity.node,
             incarnation: self.identity.incarnation,
@@ -336,13 +342,14 @@
             teams: self.router.team_usage(),
             crashes: unsettled.crashes,
             answered: unsettled.answered.into_iter().collect(),
+            limits: Some(limits),
             packed: true,
             leaving,
         }
     }
 
     /// Applies the leader's reply: the lease, the tables and the granted shares.
-    fn apply_reply(&mut self, now: Time, sent_at: Time, reply: RenewReply) {
+    fn apply_reply(&mut self, now: Time, sent_at: Time, mut reply: RenewReply) {
         let had_lease = self.holder.has_lease(now);
         let loads = reply.loads.clone();
         let suspects: IndexSet<PartKey> = reply.suspects.iter().cloned().collect();
@@ -354,6 +361,7 @@
             changed
         });
         self.router.set_team_totals(&reply.teams);
+        let (seq, limits) = (reply.seq, reply.limits.take());
         let change = self.holder.apply_reply(now, sent_at, reply);
         if let Some(reason) = &change.failure {
             log::warn!(reason = reason.as_str(); "[lease] update not applied; asking for whole tables");
@@ -365,6 +373,10 @@
             self.tables.send_replace(tables);
             self.update_gauges(now);
         }
+        if let Some(limits) = limits {
+            let changes = self.gate.lock().apply(now, sent_at, seq, limits);
+            changes.iter().for_each(|(name, it)| log_limit(name, it, "leader"));
+        }
         if let Some(grants) = &change.grants {
             self.router.grant(grants, &loads);
         }
--- a/crates/daemon/src/endpoints/call.rs
+++ b/crates/daemon/src/endpoints/call.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        answer_notices::{LEAVING_HEADER, read_notices},
+        answer_notices::{LEAVING_HEADER, LIMIT_HEADER, read_limit, read_notices},
         event::{Event, Inbox},
     },
     coord::{
         ids::AttemptId,
+        limits::{LimitNotice, SharedGate},
         router::{AttemptEvent, AttemptIdent, EndpointCall},
         wire::{CancelRequest, RefusalBody, RunLine, RunRequest},
     },
@@ -62,13 +63,13 @@
 
 /// Makes a call and reports its events to the core loop. The last event is
 /// never a piece.
-pub fn make_call(agents: &Agents, call: EndpointCall, inbox: &Inbox) {
+pub fn make_call(agents: &Agents, call: EndpointCall, inbox: &Inbox, gate: &SharedGate) {
     let id = call.ident.attempt;
-    let event = post_run(agents, call, inbox);
+    let event = post_run(agents, call, inbox, gate);
     inbox.send(Event::Attempt { id, event });
 }
 
-fn post_run(agents: &Agents, call: EndpointCall, inbox: &Inbox) -> AttemptEvent {
+fn post_run(agents: &Agents, call: EndpointCall, inbox: &Inbox, gate: &SharedGate) -> AttemptEvent {
     let agent = if call.fence.is_some() { &agents.single_use } else { &agents.keep_alive };
     let (id, endpoint) = (call.ident.attempt, call.endpoint);
     let body = RunRequest {
@@ -86,6 +87,10 @@
         Ok(it) => it,
         Err(err) => return send_failure(&err),
     };
+    let limit = read_limit(&response, &HeaderName::from_static(LIMIT_HEADER));
+    if limit != LimitNotice::Absent || gate.lock().limit(&endpoint).is_some() {
+        inbox.send(Event::Attempt { id, event: AttemptEvent::Limit(limit) });
+    }
     for notice in read_notices(&response, &HeaderName::from_static(LEAVING_HEADER)) {
         log::info!(endpoint:% = endpoint, notice:? = notice; "[endpoints] notice in an answer");
         inbox.send(Event::Attempt { id, event: AttemptEvent::Notice(notice) });
--- a/crates/daemon/src/endpoints/client.rs
+++ b/crates/daemon/src/endpoints/client.rs
@@ -3,7 +3,10 @@
 use {
     super::call::{Agents, cancel, make_call},
     crate::event::{Event, Inbox},
-    coord::router::{AttemptEvent, AttemptIdent, EndpointCall},
+    coord::{
+        limits::SharedGate,
+        router::{AttemptEvent, AttemptIdent, EndpointCall},
+    },
     std::{
         net::SocketAddr,
         sync::{
@@ -25,6 +28,7 @@
 pub struct EndpointClient {
     agents: Agents,
     inbox: Inbox,
+    gate: SharedGate,
     jobs: Sender<Box<EndpointCall>>,
     shared: Arc<Shared>,
     cancels: Sender<(AttemptIdent, SocketAddr)>,
@@ -41,7 +45,7 @@
 
 impl EndpointClient {
     /// Creates a client that makes at most `max_calls` calls at one time.
-    pub fn new(max_calls: usize, inbox: Inbox) -> Self {
+    pub fn new(max_calls: usize, inbox: Inbox, gate: SharedGate) -> Self {
         let (jobs, receiver) = channel();
         let shared = Arc::new(Shared {
             jobs: Mutex::new(receiver),
@@ -51,7 +55,7 @@
         let agents = Agents::new(max_calls);
         let pending_cancels = Arc::new(AtomicUsize::new(0));
         let cancels = start_cancel_threads(&agents, &pending_cancels);
-        Self { agents, inbox, jobs, shared, cancels, pending_cancels, max_calls }
+        Self { agents, inbox, gate, jobs, shared, cancels, pending_cancels, max_calls }
     }
 
     /// Starts a call; its events go to the core loop.
@@ -81,22 +85,22 @@
     }
 
     fn start_thread(&self) -> bool {
-        let (agents, inbox, shared) =
-            (self.agents.clone(), self.inbox.clone(), self.shared.clone());
+        let (agents, inbox) = (self.agents.clone(), self.inbox.clone());
+        let (gate, shared) = (self.gate.clone(), self.shared.clone());
         let builder = thread::Builder::new().name("endpoint".to_owned()).stack_size(256 * 1024);
-        let started = builder.spawn(move || run_worker(&agents, &inbox, &shared)).is_ok();
+        let started = builder.spawn(move || run_worker(&agents, &inbox, &gate, &shared)).is_ok();
         self.shared.threads.fetch_add(usize::from(started), Ordering::SeqCst);
         started
     }
 }
 
-fn run_worker(agents: &Agents, inbox: &Inbox, shared: &Shared) {
+fn run_worker(agents: &Agents, inbox: &Inbox, gate: &SharedGate, shared: &Shared) {
     loop {
         let job = shared.jobs.lock().expect("no thread panics while it holds the lock").recv();
         let Ok(job) = job else {
             return;
         };
-        make_call(agents, *job, inbox);
+        make_call(agents, *job, inbox, gate);
         shared.busy.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -7,7 +7,7 @@
         buffers::Buffers,
         clock::time_since,
         notices::Notices,
-        shard_batcher::{CallError, QueuedPiece, ShardBatcher},
+        shard_batcher::{CallError, GRANT_CHECK_INTERVAL, QueuedPiece, ShardBatcher},
         upstream::{SendError, Upstream},
         view::View,
     },
@@ -203,7 +203,7 @@
         let Some(batcher) = shards.get_mut(shard) else {
             return;
         };
-        batcher.apply_notices(now, &self.notices.table());
+        batcher.apply_notices(now, &self.notices);
         let down = shard.domain.is_some() && batcher.queue.is_down(now);
         if down || batcher.endpoints.is_empty() || batcher.queue.is_deserted() {
             batcher.fail_all(PieceError::Down);
@@ -220,6 +220,10 @@
         }
         while let Some(call) = batcher.queue.next_call(now) {
             let endpoint = batcher.endpoints[&call.endpoint].clone();
+            if self.notices.limit(&call.endpoint).is_some() {
+                // The grant is taken when the call is sent.
+                batcher.queue.withhold(&call.endpoint, now + GRANT_CHECK_INTERVAL);
+            }
             let pieces = batcher.take_pieces(&call);
             let (batchers, shard) = (self.strong(), shard.clone());
             tokio::task::spawn_local(async move {
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -16,7 +16,8 @@
         upstream::{Lease, SendError},
     },
     coord::{
-        ids::EndpointName,
+        ids::{EndpointName, Rate},
+        limits::MIN_LIMIT,
         relay::{AttemptOutcome, Attempts, NextAction, Preferences},
         tables::Endpoint,
         time::Millis,
@@ -61,7 +62,7 @@
     Improper(&'static str),
     /// The connection failed before the response head arrived.
     Lost(SendError),
-    /// Nothing was sent, since the endpoint takes no requests now.
+    /// Nothing was sent, since the endpoint takes no requests now. Another is tried.
     Withheld,
     /// The caller's deadline passed.
     TimedOut,
@@ -93,6 +94,7 @@
                 let unknown = attempts.give_up(AttemptOutcome::NotSent) == NextAction::Fail;
                 match self.pause_left(&tried) {
                     _ if unknown => return self.deny(Denial::Unknown),
+                    None if self.is_limited() => return self.deny_limited(),
                     None => return self.deny(Denial::NoEndpoint),
                     Some(it) if self.can_wait(it) => sleep(it).await,
                     Some(it) => return self.deny_until(it),
@@ -103,8 +105,11 @@
             attempts.record_send();
             let in_flight = self.relay.begin_attempt(&endpoint.name);
             let reply = self.send(&endpoint).await;
-            let withheld = matches!(reply, Reply::Withheld);
             let (outcome, failure) = match reply {
+                Reply::Withheld => {
+                    attempts.forget_send();
+                    continue;
+                }
                 Reply::Stream(response, check, lease, watch) => {
                     self.relay.placer().answered(&endpoint.name);
                     return self.stream(response, check, lease, watch, in_flight);
@@ -118,7 +123,6 @@
                 Reply::InputGone => return self.deny(Denial::Unknown),
                 Reply::Failed(head, body) => (AttemptOutcome::Failed, Some((head, body))),
                 Reply::NotRun => (AttemptOutcome::NotRun, None),
-                Reply::Withheld => (AttemptOutcome::NotSent, None),
                 Reply::Improper(why) => {
                     log::info!(
                         request = self.request.id.as_str(), endpoint = endpoint.name.as_str(),
@@ -143,9 +147,7 @@
                 }
             };
             drop(in_flight);
-            if !withheld {
-                self.record_failure(&endpoint, outcome);
-            }
+            self.record_failure(&endpoint, outcome);
             let mut next = attempts.record_outcome(outcome);
             let counted = outcome != AttemptOutcome::NotSent;
             if next == NextAction::Retry && counted && !self.relay.spend_retry(&self.request.pool) {
@@ -175,7 +177,18 @@
         let untried: Vec<&Endpoint> =
             endpoints.iter().copied().filter(|it| !tried.contains(&it.name)).collect();
         let usable = self.relay.notices.table().usable(now, &untried);
-        let chosen = self.relay.placer().choose(now, &usable, &preferences).cloned();
+        let mut chosen = self.relay.placer().choose(now, &usable, &preferences).cloned();
+        if let Some(first) = chosen.take_if(|it| !self.relay.notices.may_send(&it.name)) {
+            self.relay.notices.want(&first.name);
+            let granted: Vec<&Endpoint> =
+                usable.into_iter().filter(|it| self.relay.notices.may_send(&it.name)).collect();
+            log::info!(
+                request = self.request.id.as_str(), endpoint = first.name.as_str(),
+                candidates = granted.len();
+                "[relay] no send to a limited endpoint granted"
+            );
+            chosen = self.relay.placer().choose(now, &granted, &preferences).cloned();
+        }
         if let Some(it) = &chosen {
             log::info!(
                 request = self.request.id.as_str(), endpoint = it.name.as_str(), addr:% = it.addr,
@@ -188,6 +201,19 @@
         chosen
     }
 
+    /// Whether one of the pool's endpoints names a limit.
+    fn is_limited(&self) -> bool {
+        self.pool_limit() > Rate(0)
+    }
+
+    /// Returns the sum of the limits that endpoints of the pool name.
+    fn pool_limit(&self) -> Rate {
+        let view = self.relay.view();
+        let endpoints = view.endpoints(&self.request.pool).iter();
+        let limits = endpoints.filter_map(|it| self.relay.notices.limit(&it.name));
+        Rate(limits.map(|it| it.max(MIN_LIMIT).0).sum())
+    }
+
     /// Returns when to try again if none of the endpoints that weren't tried takes
     /// requests and one of them has asked for a pause. The time is spread, so that the
     /// first endpoint to return doesn't get all waiting requests at once.
@@ -330,6 +356,15 @@
         deny(Denial::Withheld, Some(RETRY_AFTER_WITHHELD))
     }
 
+    /// Refuses the request until about the pool's next send, spread so that not all come
+    /// back for the same one.
+    fn deny_limited(mut self) -> RelayResponse {
+        let gap = Millis(1_000_000 / self.pool_limit().0.max(1)).max(RETRY_AFTER);
+        let wait = gap + Millis(rand::random_range(0..=gap.0));
+        self.record.finish(Denial::Limited.name());
+        deny(Denial::Limited, Some(wait))
+    }
+
     fn deny_until(mut self, time: Duration) -> RelayResponse {
         self.record.finish(Denial::Paused.name());
         deny(Denial::Paused, Some(to_millis(time)))
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -31,6 +31,7 @@
     dialect::{BatchCodec, Dialect, HeaderNames, PieceInput, PieceItem},
     drain_state::{DrainPhase, DrainState},
     front::serve,
+    notices::log_limit,
     pieces::{
         BatcherEvent, Handle, PieceError, PieceResult, StageOutcome, StageReply, StageRequest,
         StoredResult,
--- a/crates/daemon/src/relay/notices.rs
+++ b/crates/daemon/src/relay/notices.rs
@@ -4,14 +4,13 @@
     super::{HeaderNames, clock::time_since},
     crate::answer_notices::{read_limit, read_notices},
     coord::{
-        ids::{EndpointName, Generation, Rate},
-        limits::LimitNotice,
+        ids::{EndpointName, Rate},
+        limits::{LimitChange, LimitNotice, SendPermit, SharedGate},
         relay::{EndpointNotice, EndpointNotices},
         tables::{Endpoint, Tables},
         time::{Millis, Time},
     },
-    hyper::{Response, header::HeaderName},
-    indexmap::IndexMap,
+    hyper::{Response, StatusCode, header::HeaderName},
     metrics::counter,
     std::{
         cell::{Cell, Ref, RefCell},
@@ -24,8 +23,7 @@
     table: RefCell<EndpointNotices>,
     leaving: HeaderName,
     limit: HeaderName,
-    /// The limits that endpoints name at present.
-    limits: RefCell<IndexMap<EndpointName, (Generation, Rate)>>,
+    gate: SharedGate,
     /// Up to when ended pauses are logged.
     swept: Cell<Time>,
     start: Instant,
@@ -33,12 +31,12 @@
 
 impl Notices {
     /// Creates an empty set.
-    pub fn new(names: &HeaderNames, leave_grace: Millis, start: Instant) -> Self {
+    pub fn new(names: &HeaderNames, leave_grace: Millis, gate: SharedGate, start: Instant) -> Self {
         Self {
             table: RefCell::new(EndpointNotices::new(leave_grace)),
             leaving: names.leaving.clone(),
             limit: names.limit.clone(),
-            limits: RefCell::default(),
+            gate,
             swept: Cell::new(Time(0)),
             start,
         }
@@ -51,19 +49,52 @@
 
     /// Whether a request may be sent to an endpoint now.
     pub fn may_send(&self, name: &EndpointName) -> bool {
-        self.table().may_send(time_since(self.start), name)
+        let now = time_since(self.start);
+        self.table().may_send(now, name) && self.gate.lock().may_send(now, name)
+    }
+
+    /// Takes the permit for one send to an endpoint; nothing if it may not be sent to.
+    pub fn take_permit(&self, name: &EndpointName) -> Option<SendPermit> {
+        let now = time_since(self.start);
+        let open = self.table().may_send(now, name);
+        open.then(|| self.gate.lock().take(now, name)).flatten()
+    }
+
+    /// Returns the permit of a request of which nothing was sent.
+    pub fn put_back(&self, permit: SendPermit) {
+        self.gate.lock().put_back(permit);
+    }
+
+    /// Returns the limit of an endpoint, if it names one.
+    pub fn limit(&self, name: &EndpointName) -> Option<Rate> {
+        self.gate.lock().limit(name)
+    }
+
+    /// Counts a request that another send to an endpoint would have served.
+    pub fn want(&self, name: &EndpointName) {
+        self.gate.lock().want(name);
+    }
+
+    /// The time on the clock by which notices are kept.
+    pub fn now(&self) -> Time {
+        time_since(self.start)
     }
 
     /// Drops the notices of incarnations that are no longer in the tables.
     pub fn reload(&self, tables: &Tables) {
         self.table.borrow_mut().reload(tables.endpoints.values());
-        self.limits.borrow_mut().retain(|name, _| tables.endpoints.contains_key(name));
+        self.gate.lock().reload(tables.endpoints.values());
     }
 
-    /// Reads the head of an endpoint's answer. Returns whether the endpoint has just
-    /// said that it is leaving.
-    pub fn read<B>(&self, endpoint: &Endpoint, response: &Response<B>) -> bool {
-        self.note_limit(endpoint, read_limit(response, &self.limit));
+    /// Reads the head of an endpoint's answer to a request that was sent at `sent`.
+    /// Returns whether the endpoint has just said that it is leaving.
+    pub fn read<B>(&self, endpoint: &Endpoint, sent: Time, response: &Response<B>) -> bool {
+        let limit = read_limit(response, &self.limit);
+        // Another endpoint may have answered, at an address that is used again.
+        let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if limit != LimitNotice::Absent || !misdirected {
+            self.note_limit(endpoint, sent, limit);
+        }
         let mut newly_leaving = false;
         for notice in read_notices(response, &self.leaving) {
             match notice {
@@ -83,35 +114,18 @@
         }
     }
 
-    /// Logs a limit that an endpoint names for the first time, changes or ends.
-    fn note_limit(&self, endpoint: &Endpoint, notice: LimitNotice) {
-        let mut limits = self.limits.borrow_mut();
-        let known = limits.get(&endpoint.name).filter(|it| it.0 == endpoint.generation);
-        let before = known.map(|it| it.1);
-        let limit = match notice {
-            LimitNotice::Named(limit) => Some(limit),
-            LimitNotice::Absent => None,
-            LimitNotice::Unreadable => {
-                log::info!(
-                    endpoint = endpoint.name.as_str(), generation:% = endpoint.generation;
-                    "[relay] limit of an endpoint isn't a number"
-                );
-                return;
-            }
-        };
-        if limit == before {
-            return;
+    fn note_limit(&self, endpoint: &Endpoint, sent: Time, notice: LimitNotice) {
+        let (name, generation) = (&endpoint.name, endpoint.generation);
+        if notice == LimitNotice::Unreadable {
+            log::info!(
+                endpoint = name.as_str(), generation:% = generation;
+                "[relay] limit of an endpoint isn't a number"
+            );
+        }
+        let now = time_since(self.start);
+        if let Some(it) = self.gate.lock().note(now, sent, name, generation, notice) {
+            log_limit(name, &it, "answer");
         }
-        match limit {
-            Some(it) => limits.insert(endpoint.name.clone(), (endpoint.generation, it)),
-            None => limits.swap_remove(&endpoint.name),
-        };
-        log::info!(
-            endpoint = endpoint.name.as_str(), generation:% = endpoint.generation,
-            limit_milli = limit.map_or(-1, |it| it.0 as i64),
-            before_milli = before.map_or(-1, |it| it.0 as i64);
-            "[relay] limit of an endpoint"
-        );
     }
 
     fn note_pause(&self, endpoint: &Endpoint, pause: Millis) {
@@ -142,6 +156,17 @@
     }
 }
 
+/// Logs a change of an endpoint's limit, in requests per 1000 seconds (-1: none), and how
+/// this instance learned of it.
+pub fn log_limit(name: &EndpointName, change: &LimitChange, source: &str) {
+    let number = |it: Option<Rate>| it.map_or(-1, |it| it.0 as i64);
+    log::info!(
+        endpoint = name.as_str(), limit = number(change.limit), before = number(change.before),
+        source = source;
+        "[relay] limit of an endpoint"
+    );
+}
+
 fn count(endpoint: &Endpoint, notice: &'static str) {
     let pool = endpoint.pool.to_string();
     counter!("mangobend_endpoint_notices_total", "pool" => pool, "notice" => notice).increment(1);
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -10,6 +10,7 @@
     crate::event::Inbox,
     coord::{
         ids::{EndpointName, PoolName, StageName},
+        limits::SharedGate,
         relay::{Placer, QueueWaits, Shard},
         router::{Estimator, RetryBudget},
         tables::{PartKey, Tables},
@@ -51,6 +52,10 @@
     pub inbox: Inbox,
     /// The parts of prompts under which endpoints have crashed.
     pub suspects: watch::Receiver<Arc<IndexSet<PartKey>>>,
+    /// The gate that sends to limited endpoints pass.
+    pub gate: SharedGate,
+    /// The origin of the times that the gate is given.
+    pub start: Instant,
     /// The address at which peers reach this instance.
     pub peer: SocketAddr,
     pub secret: Arc<str>,
@@ -101,12 +106,13 @@
             drain,
             inbox,
             suspects,
+            gate,
+            start,
             peer,
             secret,
         } = context;
-        let start = Instant::now();
         let names = &settings.dialect.headers;
-        let notices = Rc::new(Notices::new(names, settings.leave_grace, start));
+        let notices = Rc::new(Notices::new(names, settings.leave_grace, gate, start));
         let buffers = Buffers::default();
         let upstream = Rc::new(Upstream::new(notices.clone()));
         let relay = Rc::new(Self {
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -36,6 +36,8 @@
     NoEndpoint,
     /// Every endpoint asked for a pause that ends too late.
     Paused,
+    /// Every endpoint that could be sent to takes no more requests for now.
+    Limited,
     /// A part of the prompt crashes endpoints and is withheld from them.
     Withheld,
     /// The body did not arrive, or the stages can't finish, before the deadline.
@@ -61,6 +63,7 @@
             | Self::Stopping
             | Self::NoEndpoint
             | Self::Paused
+            | Self::Limited
             | Self::Withheld
             | Self::TooLate
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -80,6 +83,7 @@
             Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
             Self::Paused => "paused",
+            Self::Limited => "limited",
             Self::Withheld => "withheld",
             Self::TooLate => "too_late",
             Self::NotRun => "unrun",
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -4,15 +4,12 @@
 use {
     super::{
         Handle, PieceError, PieceItem, PieceResult, StageOutcome, StageReply, StageRequest,
-        StoredResult, clock::time_since, upstream::SendError,
+        StoredResult, clock::time_since, notices::Notices, upstream::SendError,
     },
     coord::{
         catalog::BatchTerms,
         ids::{Bytes, EndpointName},
-        relay::{
-            Availability, BatchCall, BatchQueue, CallOutcome, EndpointNotices, GroupId, Piece,
-            PieceId,
-        },
+        relay::{Availability, BatchCall, BatchQueue, CallOutcome, GroupId, Piece, PieceId},
         tables::Endpoint,
         time::{Millis, Time},
     },
@@ -24,6 +21,8 @@
 /// A piece fails after this many calls. Calls that were refused or not sent, or
 /// that found no room for the result, don't count.
 const MAX_TRIES: u32 = 3;
+/// How often a limited endpoint without a granted send is looked at again.
+pub const GRANT_CHECK_INTERVAL: Millis = Millis(50);
 
 /// A stage request that has no reply yet, with the results so far.
 pub struct PendingRequest {
@@ -135,15 +134,29 @@
         }
     }
 
-    /// Withholds calls from endpoints that are leaving or asked for a pause.
-    pub fn apply_notices(&mut self, now: Time, notices: &EndpointNotices) {
+    /// Withholds calls from endpoints that are leaving, asked for a pause, or are limited
+    /// and have no send granted.
+    pub fn apply_notices(&mut self, now: Time, notices: &Notices) {
+        for name in self.endpoints.keys() {
+            self.queue.set_limit(name, notices.limit(name));
+        }
+        let is_granted = |name: &EndpointName| notices.may_send(name);
+        let ungranted: Vec<EndpointName> = match self.queue.is_empty() {
+            true => Vec::new(),
+            false => self.endpoints.keys().filter(|it| !is_granted(it)).cloned().collect(),
+        };
+        ungranted.iter().for_each(|it| notices.want(it));
+        let notices = &notices.table();
         let is_open = |name| notices.availability(now, name) == Availability::Open;
         let any_open = self.endpoints.keys().any(is_open);
         for name in self.endpoints.keys() {
             let until = match notices.availability(now, name) {
+                Availability::Open if ungranted.contains(name) => now + GRANT_CHECK_INTERVAL,
                 Availability::Open => now,
                 Availability::Paused { until } => until,
-                Availability::Leaving if !any_open && notices.may_send(now, name) => now,
+                Availability::Leaving if !any_open && notices.may_send(now, name) => {
+                    if ungranted.contains(name) { now + GRANT_CHECK_INTERVAL } else { now }
+                }
                 Availability::Leaving => BatchQueue::NEVER,
             };
             self.queue.withhold(name, until);
@@ -228,6 +241,7 @@
                     size => CallOutcome::Full { refused: Bytes(size) },
                 }
             }
+            Err(CallError::Lost { source: SendError::Withheld }) => CallOutcome::NotSent,
             Err(_) => CallOutcome::Failed,
         };
         self.queue.finish_call(now, call, outcome);
--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -57,7 +57,8 @@
     /// the request.
     #[snafu(display("the connection failed: {source}"))]
     Broken { source: hyper::Error },
-    /// The endpoint is leaving or asked for a pause, so nothing was sent.
+    /// The endpoint is leaving, asked for a pause or takes no more requests for now, so
+    /// nothing was sent.
     #[snafu(display("the endpoint takes no requests now"))]
     Withheld,
 }
@@ -155,12 +156,13 @@
         if sender.ready().await.is_err() {
             return Err((SendError::Closed, Some(request)));
         }
-        if !self.notices.may_send(&endpoint.name) {
+        let Some(permit) = self.notices.take_permit(&endpoint.name) else {
             return Err((SendError::Withheld, None));
-        }
+        };
+        let sent = self.notices.now();
         match sender.try_send_request(request).await {
             Ok(response) => {
-                if self.notices.read(endpoint, &response) {
+                if self.notices.read(endpoint, sent, &response) {
                     self.idle.borrow_mut().remove(&endpoint.name);
                 }
                 let idle_timeout = idle_timeout(response.headers());
@@ -169,7 +171,10 @@
                 Ok((response, Lease { sender, task, endpoint, idle_timeout, upstream }))
             }
             Err(mut err) => match err.take_message() {
-                Some(request) => Err((SendError::Closed, Some(request))),
+                Some(request) => {
+                    self.notices.put_back(permit);
+                    Err((SendError::Closed, Some(request)))
+                }
                 None => Err((SendError::Broken { source: err.into_error() }, None)),
             },
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
         settings::{self, Action, Settings},
         telemetry::{Meters, start_logs},
     },
+    coord::limits::SharedGate,
     serde::Serialize,
     signal_hook::{
         consts::{SIGINT, SIGTERM},
@@ -152,6 +153,7 @@
     let drain = Arc::new(DrainState::default());
     let (tables, tables_rx) = watch::channel(Arc::default());
     let (suspects, suspects_rx) = watch::channel(Arc::default());
+    let (gate, start) = (SharedGate::default(), Instant::now());
     let context = CallerContext {
         inbox: inbox.clone(),
         max_body: settings.max_body,
@@ -161,7 +163,7 @@
     let (batchers, batcher_events) = unbounded_channel();
     let peer_secret = settings.peer.secret.clone();
     let relay = settings.relay.clone().zip(relay).map(|(settings, listeners)| {
-        let (tables, drain) = (tables_rx, drain.clone());
+        let (tables, drain, gate) = (tables_rx, drain.clone(), gate.clone());
         let secret = peer_secret.clone();
         let context = RelayContext {
             settings,
@@ -170,6 +172,8 @@
             drain,
             inbox: inbox.clone(),
             suspects: suspects_rx,
+            gate,
+            start,
             peer: peer_addr,
             secret,
         };
@@ -200,14 +204,15 @@
         tables,
         suspects,
         drain,
-        endpoints: EndpointClient::new(settings.endpoint_threads, inbox),
+        endpoints: EndpointClient::new(settings.endpoint_threads, inbox, gate.clone()),
+        gate,
         settings,
         identity,
         disk,
         peers,
         meters,
         ready,
-        start: Instant::now(),
+        start,
         seed: rand::random(),
     };
     println!("{}", serde_json::to_string(&addresses).expect("addresses can be serialized"));
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -6,6 +6,7 @@
     coord::{
         catalog::{ApiKey, Catalog, RelayStage, TeamEntry},
         ids::{Bytes, Incarnation, NodeId},
+        limits::SharedGate,
         tables::{Endpoint, Member, Tables},
     },
     daemon::event::Inbox,
@@ -16,6 +17,7 @@
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{Arc, mpsc::sync_channel},
         thread,
+        time::Instant,
     },
     tokio::{
         sync::{
@@ -101,6 +103,8 @@
                 drain: shared,
                 inbox: Inbox::new(sync_channel(1).0),
                 suspects: watch::channel(Arc::default()).1,
+                gate: SharedGate::default(),
+                start: Instant::now(),
                 peer: addr,
                 secret: "".into(),
             });
