Keep what an instance knows of limits until it has told a new leader

A leader now sends its list and grants only to instances that have told it all they know. Its readiness moves into the table, so that the seeded systems run the same code.

--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -8,16 +8,12 @@
     },
     crate::{
         ids::{Index, NodeId, Slots},
-        limits::{GRANT_VALIDITY, LimitListUpdate, LimitReply, LimitRequest},
+        limits::{LimitListUpdate, LimitReply},
         raft::Role,
         time::{Millis, Time},
     },
 };
 
-/// How much longer a new leader assumes the grants of an earlier one to be valid, to allow
-/// for clock drift.
-const GRANT_MARGIN: Millis = Millis(100);
-
 impl Voter {
     /// Checks whether this voter can answer a renewal of the sender now.
     pub(super) fn check_renewal(
@@ -166,7 +162,7 @@
         let mut reply = self.reply(&it.request, grants);
         let held = now.since(it.received);
         reply.limits = it.request.limits.as_ref().map(|limits| LimitReply {
-            list: self.limit_list_update(now, limits),
+            list: self.limits.list_update(now, limits.list, known),
             sends: self.limits.take_grants(holder),
             held,
         });
@@ -176,13 +172,15 @@
     /// Divides sends to limited endpoints among the instances whose renewals wait for a
     /// reply.
     pub(super) fn grant_sends(&mut self, now: Time) {
-        let has_lease = self.raft.lease().is_some_and(|it| it > now);
-        self.knows_limits = self.knows_limits || self.may_know_limits(now);
-        if !has_lease || !self.knows_limits {
+        let reported = |id: &NodeId| self.shares.holders().any(|it| it.node == *id);
+        let roster = &self.state.tables.roster;
+        let is_ready = self.limits.check_ready(now, || roster.keys().all(reported));
+        if !is_ready || self.raft.lease().is_none_or(|it| it <= now) {
             return;
         }
         let waiting = self.renewals.values().filter(|it| it.request.limits.is_some());
-        let ready = waiting.map(|it| holder_of(&it.request)).collect();
+        let holders = waiting.map(|it| holder_of(&it.request));
+        let ready = holders.filter(|it| self.shares.contains(*it)).collect();
         self.limits.grant(now, &ready);
     }
 
@@ -191,26 +189,10 @@
         let Some(limits) = &renewal.request.limits else {
             return false;
         };
-        self.limits.has_grants(holder_of(&renewal.request))
-            || matches!(self.limit_list_update(now, limits), LimitListUpdate::New(_))
-    }
-
-    fn limit_list_update(&self, now: Time, request: &LimitRequest) -> LimitListUpdate {
-        match self.knows_limits {
-            false => LimitListUpdate::Unknown,
-            true if request.list == self.limits.number() => LimitListUpdate::Same,
-            true => LimitListUpdate::New(self.limits.list(now)),
-        }
-    }
-
-    /// Whether this leader knows all limits, and no grant of an earlier one is valid. Each
-    /// instance reports what it knows to a new leader, or may have no lease any more.
-    pub(super) fn may_know_limits(&self, now: Time) -> bool {
-        let since = self.raft.leader_since();
-        let settled = since + LEASE_DURATION + LEASE_MARGIN;
-        let reported = |id: &NodeId| self.shares.holders().any(|it| it.node == *id);
-        let expired = since + GRANT_VALIDITY + GRANT_MARGIN;
-        now >= settled || now >= expired && self.state.tables.roster.keys().all(reported)
+        let holder = holder_of(&renewal.request);
+        let known = self.shares.contains(holder);
+        let update = self.limits.list_update(now, limits.list, known);
+        self.limits.has_grants(holder) || matches!(update, LimitListUpdate::New(_))
     }
 
     fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -87,8 +87,6 @@
     pub(super) teams: TeamTable,
     pub(super) endpoints: EndpointTable,
     pub(super) limits: LimitTable,
-    /// Whether this leader knows all limits.
-    pub(super) knows_limits: bool,
     pub(super) parts: PartEvidence,
     /// When this leader first saw each withheld part, or proposed to withhold it.
     pub(super) withheld_since: IndexMap<PartKey, Time>,
@@ -125,7 +123,6 @@
             teams: TeamTable::default(),
             endpoints: EndpointTable::default(),
             limits: LimitTable::default(),
-            knows_limits: false,
             parts: PartEvidence::default(),
             withheld_since: IndexMap::new(),
             lease_ends: IndexMap::new(),
@@ -451,8 +448,7 @@
         self.shares = ShareTable::default();
         self.teams = TeamTable::default();
         self.lease_ends.clear();
-        self.limits = LimitTable::start(self.raft.term());
-        self.knows_limits = false;
+        self.limits = LimitTable::start(self.raft.term(), now);
         self.parts = PartEvidence::default();
         self.withheld_since.clear();
         self.endpoints = EndpointTable::default();
--- a/crates/coord/src/limits/limit_table.rs
+++ b/crates/coord/src/limits/limit_table.rs
@@ -1,9 +1,12 @@
 //! The leader's side of the limits: which endpoints are limited, and who may send.
 
 use {
-    super::{EndpointLimit, LimitDemand, LimitList, LimitReport, SendGrant},
+    super::{
+        EndpointLimit, GRANT_VALIDITY, LimitDemand, LimitList, LimitListUpdate, LimitReport,
+        SendGrant,
+    },
     crate::{
-        control::ShareHolder,
+        control::{LEASE_DURATION, LEASE_MARGIN, ShareHolder},
         ids::{EndpointName, Generation, Rate, Term},
         tables::Tables,
         time::{Millis, Time},
@@ -22,6 +25,9 @@
 /// answers can tell that the limit has ended.
 pub const MIN_LIMIT: Rate = Rate(100);
 
+/// How much longer a new leader assumes the grants of an earlier one to be valid, to allow
+/// for clock drift.
+const GRANT_MARGIN: Millis = Millis(100);
 /// The credit that one send costs, in thousandths of a send per second times
 /// milliseconds.
 const SEND_CREDIT: u64 = 1_000_000;
@@ -57,6 +63,10 @@
 pub struct LimitTable {
     rows: IndexMap<EndpointName, Row>,
     number: u64,
+    /// When this voter began to lead.
+    since: Time,
+    /// Whether all limits are known and no grant of an earlier leader is valid.
+    is_ready: bool,
     granted_at: Time,
     grants: IndexMap<ShareHolder, IndexMap<EndpointName, SendGrant>>,
     /// The sends granted since they were last taken for the log.
@@ -64,10 +74,31 @@
 }
 
 impl LimitTable {
-    /// Creates the table of a voter that leads in `term`. Its lists have higher numbers
-    /// than those of earlier leaders.
-    pub fn start(term: Term) -> Self {
-        Self { number: (term.0 << 32) + 1, ..Self::default() }
+    /// Creates the table of a voter that leads in `term` since `since`. Its lists have
+    /// higher numbers than those of earlier leaders.
+    pub fn start(term: Term, since: Time) -> Self {
+        Self { number: (term.0 << 32) + 1, since, ..Self::default() }
+    }
+
+    /// Whether lists may be sent and sends granted: each instance has reported what it
+    /// knows to this leader or may have no lease any more, and no grant of an earlier
+    /// leader is valid.
+    pub fn check_ready(&mut self, now: Time, all_reported: impl FnOnce() -> bool) -> bool {
+        let settled = self.since + LEASE_DURATION + LEASE_MARGIN;
+        let expired = self.since + GRANT_VALIDITY + GRANT_MARGIN;
+        self.is_ready = self.is_ready || now >= settled || now >= expired && all_reported();
+        self.is_ready
+    }
+
+    /// Returns what to tell an instance that holds the list with this number. `has_reported`
+    /// is whether it has told this leader all that it knows; its knowledge may not be
+    /// replaced before.
+    pub fn list_update(&self, now: Time, held: u64, has_reported: bool) -> LimitListUpdate {
+        match self.is_ready && has_reported {
+            false => LimitListUpdate::Unknown,
+            true if held == self.number => LimitListUpdate::Same,
+            true => LimitListUpdate::New(self.list(now)),
+        }
     }
 
     /// Takes in what an instance reports. Of contradicting reports that of the latest
@@ -115,11 +146,6 @@
         self.number += u64::from(self.rows.len() < count);
     }
 
-    /// The number of the current list.
-    pub fn number(&self) -> u64 {
-        self.number
-    }
-
     /// Returns all limits.
     pub fn list(&self, now: Time) -> LimitList {
         let limited = self.rows.iter().filter_map(|(name, row)| Some((name, row, row.limit?)));
@@ -135,7 +161,8 @@
     /// Divides the sends that the limits allow by now among instances that can be
     /// answered at once, by their demand.
     pub fn grant(&mut self, now: Time, ready: &IndexSet<ShareHolder>) {
-        if now.since(self.granted_at) < GRANT_INTERVAL || ready.is_empty() {
+        let is_due = now.since(self.granted_at) >= GRANT_INTERVAL;
+        if !self.is_ready || !is_due || ready.is_empty() {
             return;
         }
         self.granted_at = now;
--- a/crates/coord/tests/limits.rs
+++ b/crates/coord/tests/limits.rs
@@ -6,9 +6,9 @@
         control::ShareHolder,
         ids::{EndpointName, Generation, Incarnation, NodeId, Rate, Slots, Term},
         limits::{
-            EndpointLimit, GRANT_INTERVAL, GRANT_VALIDITY, LimitGate, LimitList, LimitListUpdate,
-            LimitNotice, LimitReply, LimitReport, LimitRequest, LimitTable, MAX_LIMIT, SendGrant,
-            parse_limit,
+            CREDIT_TIME, EndpointLimit, GRANT_INTERVAL, GRANT_VALIDITY, LimitGate, LimitList,
+            LimitListUpdate, LimitNotice, LimitReply, LimitReport, LimitRequest, LimitTable,
+            MAX_LIMIT, SendGrant, parse_limit,
         },
         relay::{AttemptOutcome, Attempts, NextAction},
         tables::{Endpoint, EndpointState, Tables},
@@ -68,6 +68,13 @@
     ShareHolder { node: NodeId(number), incarnation: Incarnation(1) }
 }
 
+/// The table of a leader that has led for long.
+fn ready_table() -> LimitTable {
+    let mut table = LimitTable::start(Term(1), Time(0));
+    assert!(table.check_ready(START, || true));
+    table
+}
+
 fn report(limit: Option<u64>, age: u64) -> LimitReport {
     let limit = limit.map(Rate);
     LimitReport { endpoint: name(), generation: Generation(1), limit, age: Millis(age) }
@@ -212,7 +219,7 @@
 
 #[test]
 fn the_latest_answer_decides_at_the_leader() {
-    let mut table = LimitTable::start(Term(1));
+    let mut table = ready_table();
     let tables = tables(1);
 
     table.record(START, &report(Some(1000), 10), &tables);
@@ -226,7 +233,7 @@
 
 #[test]
 fn an_instance_with_demand_gets_most_sends_and_others_some() {
-    let mut table = LimitTable::start(Term(1));
+    let mut table = ready_table();
     table.record(START, &report(Some(10_000), 0), &tables(1));
     let ready: IndexSet<ShareHolder> = (1..=8).map(holder).collect();
     let mut sends = [0; 9];
@@ -247,6 +254,18 @@
     assert!(sends[1..].iter().all(|it| *it > 0), "{sends:?}");
 }
 
+#[test]
+fn credit_is_saved_up_for_a_short_time_only() {
+    let mut table = ready_table();
+    table.record(START, &report(Some(10_000), 0), &tables(1));
+    let ready: IndexSet<ShareHolder> = [holder(1)].into_iter().collect();
+
+    table.grant(START + Millis(60_000), &ready);
+
+    let sends: u32 = table.take_grants(holder(1)).iter().map(|it| it.sends).sum();
+    assert_eq!(sends, (10 * CREDIT_TIME.0 / 1000) as u32);
+}
+
 #[test]
 fn a_send_that_was_not_made_does_not_use_up_the_sends_of_a_request() {
     let route = harness_route();
@@ -357,7 +376,6 @@
 
 struct Leader {
     term: u64,
-    since: Time,
     table: LimitTable,
     /// Instances that have reported all they know.
     registered: IndexSet<(usize, u64)>,
@@ -367,14 +385,8 @@
 
 impl Leader {
     fn new(term: u64, now: Time) -> Self {
-        let table = LimitTable::start(Term(term));
-        Self { term, since: now, table, registered: IndexSet::new(), pending: Vec::new() }
-    }
-
-    fn knows_all(&self, now: Time, count: usize) -> bool {
-        let reported = (0..count).all(|it| self.registered.iter().any(|(at, _)| *at == it));
-        now >= self.since + Millis(2640)
-            || reported && now >= self.since + GRANT_VALIDITY + Millis(100)
+        let table = LimitTable::start(Term(term), now);
+        Self { term, table, registered: IndexSet::new(), pending: Vec::new() }
     }
 }
 
@@ -391,6 +403,8 @@
     arrivals: Vec<(Time, u64)>,
     /// When the endpoint or its limit began anew.
     since: Time,
+    /// The probability with which an instance sends in a step.
+    load: f64,
 }
 
 impl Pool {
@@ -409,6 +423,7 @@
             flights: Vec::new(),
             arrivals: Vec::new(),
             since: START,
+            load: 0.4,
         }
     }
 
@@ -445,7 +460,8 @@
             return;
         }
         let at = self.rng.random_range(0..self.instances.len());
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
+            8 => self.instances.iter_mut().for_each(|it| it.cut = true),
             0 => self.leader = Leader::new(self.leader.term + 1, self.now),
             1 | 2 => self.instances[at].cut ^= true,
             3 | 4 => {
@@ -506,7 +522,13 @@
         }
     }
 
-    fn load(&mut self, load: f64) {
+    /// Has each instance send with a probability that changes, so that grants and credit
+    /// are saved up and used at once.
+    fn load(&mut self, most: f64) {
+        if self.rng.random_bool(0.01) {
+            self.load = [0.0, 0.0, most / 20.0, most][self.rng.random_range(0..4)];
+        }
+        let load = self.load;
         for at in 0..self.instances.len() {
             if !self.rng.random_bool(load) {
                 continue;
@@ -523,26 +545,23 @@
 
     fn lead(&mut self) {
         let now = self.now;
-        let knows = self.leader.knows_all(now, self.instances.len());
-        if knows {
-            let ready = self.leader.pending.iter().map(|it| holder(it.0 as u64)).collect();
+        let count = self.instances.len();
+        let registered = &self.leader.registered;
+        let all = || (0..count).all(|it| registered.iter().any(|(at, _)| *at == it));
+        if self.leader.table.check_ready(now, all) {
+            let waiting = self.leader.pending.iter();
+            let known = waiting.filter(|it| self.leader.registered.contains(&(it.0, it.1)));
+            let ready = known.map(|it| holder(it.0 as u64)).collect();
             self.leader.table.grant(now, &ready);
         }
         for (from, incarnation, seq, asked, received, request) in
             std::mem::take(&mut self.leader.pending)
         {
             let grants = self.leader.table.take_grants(holder(from as u64));
-            let current = request.list == self.leader.table.number();
-            let list = match (knows, current) {
-                (false, _) => LimitListUpdate::Unknown,
-                (true, true) => LimitListUpdate::Same,
-                (true, false) => LimitListUpdate::New(self.leader.table.list(now)),
-            };
             let want = !self.leader.registered.contains(&(from, incarnation));
-            let due = now.since(received) >= Millis(500)
-                || !grants.is_empty()
-                || knows && !current
-                || want;
+            let list = self.leader.table.list_update(now, request.list, !want);
+            let is_new = matches!(list, LimitListUpdate::New(_));
+            let due = now.since(received) >= Millis(500) || !grants.is_empty() || is_new || want;
             if !due {
                 self.leader.pending.push((from, incarnation, seq, asked, received, request));
                 continue;
