--- a/crates/coord/tests/limits.rs
+++ b/crates/coord/tests/limits.rs
@@ -410,7 +410,7 @@
 impl Pool {
     fn new(seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let count = if seed % 10 == 0 { 82 } else { rng.random_range(2..=12) };
+        let count = if seed.is_multiple_of(10) { 82 } else { rng.random_range(2..=12) };
         let limit = [200, 1000, 1000, 2500, 20_000][rng.random_range(0..5)];
         let instances = (0..count).map(|_| Instance::new(1, 1)).collect();
         Self {
