--- a/crates/coord/src/claims/claim.rs
+++ b/crates/coord/src/claims/claim.rs
@@ -8,27 +8,47 @@
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
     snafu::Snafu,
+    std::{fmt, num::ParseIntError, str::FromStr},
 };
 
 /// Digest of what must be equal in requests with the same key: the first 16
 /// bytes of a SHA-256.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestDigest(u128);
 
 impl RequestDigest {
     /// Computes the digest of a request's route, team and input.
     pub fn of(route: &RouteName, team: &TeamName, input: &str) -> Self {
+        Self::of_fields(&[route.as_str().as_bytes(), team.as_str().as_bytes(), input.as_bytes()])
+    }
+
+    /// Computes the digest of a list of fields.
+    pub fn of_fields(fields: &[&[u8]]) -> Self {
         let mut hash = Sha256::new();
-        for part in [route.as_str(), team.as_str(), input] {
-            hash.update((part.len() as u64).to_be_bytes());
-            hash.update(part.as_bytes());
+        for it in fields {
+            hash.update((it.len() as u64).to_be_bytes());
+            hash.update(it);
         }
         let hash = hash.finalize();
         Self(u128::from_be_bytes(hash[..16].try_into().expect("a digest has 32 bytes")))
     }
 }
 
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestDigest {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(s, 16).map(Self)
+    }
+}
+
 /// A request to claim a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRequest {
--- a/crates/daemon/src/relay/crash_watch.rs
+++ b/crates/daemon/src/relay/crash_watch.rs
@@ -5,6 +5,7 @@
     super::{record::join_parts, request::RelayRequest},
     crate::event::{Event, Inbox},
     coord::{
+        claims::RequestDigest,
         control::CrashReport,
         ids::{PoolName, PromptPart},
         tables::{Endpoint, PartKey},
@@ -35,13 +36,19 @@
     }
 
     /// Starts to watch one attempt of a request.
-    pub fn attempt(&self, request: &RelayRequest, endpoint: &Endpoint) -> AttemptWatch {
+    pub fn attempt(
+        &self,
+        request: &RelayRequest,
+        digest: RequestDigest,
+        endpoint: &Endpoint,
+    ) -> AttemptWatch {
         AttemptWatch {
             watch: self.clone(),
             request: request.id.clone(),
             endpoint: endpoint.clone(),
             pool: request.pool.clone(),
             parts: request.parts.clone(),
+            digest,
             answered: false,
         }
     }
@@ -54,6 +61,7 @@
     endpoint: Endpoint,
     pool: PoolName,
     parts: Vec<PromptPart>,
+    digest: RequestDigest,
     answered: bool,
 }
 
@@ -78,7 +86,7 @@
     /// before a byte of the answer, and no other can be made. `began` says whether the
     /// head of the answer had arrived.
     pub fn broke_off(self, began: bool) {
-        if self.answered || self.parts.is_empty() {
+        if self.answered {
             return;
         }
         tokio::task::spawn_local(async move {
@@ -89,9 +97,12 @@
             log::info!(
                 request = self.request.as_str(), endpoint = self.endpoint.name.as_str(),
                 generation:% = self.endpoint.generation, pool:% = self.pool, began = began,
-                parts = join_parts(&self.parts);
+                parts = join_parts(&self.parts), digest:% = self.digest;
                 "[relay] an endpoint crashed under a request"
             );
+            if self.parts.is_empty() {
+                return;
+            }
             self.watch.inbox.offer(Event::EndpointCrashed(CrashReport {
                 endpoint: self.endpoint.name,
                 generation: self.endpoint.generation,
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -16,6 +16,7 @@
         upstream::{Lease, SendError},
     },
     coord::{
+        claims::RequestDigest,
         ids::{EndpointName, Rate},
         limits::MIN_LIMIT,
         relay::{AttemptOutcome, Attempts, NextAction, Preferences},
@@ -73,6 +74,8 @@
     pub relay: Rc<Relay>,
     pub request: RelayRequest,
     pub body: Bytes,
+    /// The digest of caller, path and body.
+    pub digest: RequestDigest,
     pub results: StageResults,
     pub record: RequestRecord,
 }
@@ -140,6 +143,7 @@
                     log::info!(
                         request = self.request.id.as_str(), endpoint = endpoint.name.as_str(),
                         sent = !err.is_unsent(), parts = join_parts(&self.request.parts),
+                        digest:% = self.digest,
                         error:% = err;
                         "[relay] attempt lost"
                     );
@@ -254,7 +258,7 @@
             self.body.clone(),
         );
         let deadline = self.request.deadline.into();
-        let mut watch = self.relay.crashes.attempt(&self.request, endpoint);
+        let mut watch = self.relay.crashes.attempt(&self.request, self.digest, endpoint);
         let began = Instant::now();
         let sent = timeout_at(deadline, self.relay.upstream.send(endpoint, outgoing)).await;
         let (response, lease) = match sent {
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -173,8 +173,8 @@
     let mut record = RequestRecord::new(&request, version, relay.series.clone(), guard);
     let mut response = match prepare(relay, &request, body).await {
         Ok((body, results)) => {
-            let relay = relay.clone();
-            return Forward { relay, request, body, results, record }.run().await;
+            let (relay, digest) = (relay.clone(), request.digest(&body));
+            return Forward { relay, request, body, digest, results, record }.run().await;
         }
         Err((denial, after)) => {
             record.finish(denial.name());
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -9,6 +9,7 @@
     },
     coord::{
         catalog::{ApiKey, RelayRoute},
+        claims::RequestDigest,
         ids::{DomainName, PoolName, PromptPart, TeamName},
         relay::preferred_domain,
         tables::Endpoint,
@@ -114,6 +115,16 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the digest of what an endpoint is sent of the request: by whom, where, and
+    /// the body. A request that comes again has the same.
+    pub fn digest(&self, body: &[u8]) -> RequestDigest {
+        let path = self.head.uri.path_and_query().map_or("/", |it| it.as_str());
+        let team = self.team.as_ref().map_or("", |it| it.as_str());
+        let fields = [self.head.method.as_str(), host(&self.head), path, team];
+        let fields = fields.map(str::as_bytes);
+        RequestDigest::of_fields(&[fields[0], fields[1], fields[2], fields[3], body])
+    }
+
     /// Builds the request to an endpoint: the caller's own without hop-by-hop
     /// and reserved headers, plus the headers that the relay sets.
     pub fn outgoing(
