--- a/crates/standin/src/crashing.rs
+++ b/crates/standin/src/crashing.rs
@@ -1,8 +1,11 @@
-//! An endpoint that crashes when it begins to answer a prompt with a certain part, and
-//! comes back some time later.
+//! An endpoint that crashes when it runs certain requests, and comes back some time later.
 
 use {
-    crate::{ReceivedRequest, header},
+    crate::{ReceivedRequest, header, signed_response},
+    coord::{
+        ids::Tokens,
+        wire::{RunLine, RunRequest},
+    },
     std::{
         io::{Read, Write},
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
@@ -15,14 +18,32 @@
 /// Interval at which a listener looks for connections and crashes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// What crashes an endpoint.
+#[derive(Debug, Clone)]
+pub enum Poison {
+    /// A prompt with the part of this id.
+    Part(String),
+    /// A request whose body holds this text.
+    Body(String),
+}
+
+/// How an endpoint answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// A stream of events. It crashes after the head.
+    Stream,
+    /// A plain answer, or the lines of a run. It crashes before the head.
+    Plain,
+}
+
 /// How an endpoint behaves.
 #[derive(Debug, Clone)]
 pub struct CrashSpec {
-    /// The id of the part of a prompt that crashes it.
-    pub poison_part: String,
+    pub poison: Poison,
+    pub form: AnswerForm,
     /// The time from a request to the head of its answer.
     pub prefill: Duration,
-    /// The time from the head to the first event, at which it crashes or goes on.
+    /// The time from then on until it crashes or goes on.
     pub begin: Duration,
     /// How long it is down.
     pub down: Duration,
@@ -122,17 +143,11 @@
 
     fn serve(&self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream) {
-            let parts = request.header("mangobend-parts").unwrap_or_default();
-            let mut ids = parts.split(',').map(|it| it.split(':').next().unwrap_or(it));
-            let poison = ids.any(|it| it == self.spec.poison_part);
+            let poison = self.spec.poison.is_in(&request);
             lock(&self.arrivals).push(Arrival { at: request.at, poison });
             thread::sleep(self.spec.prefill);
-            let id = request.header("mangobend-request").unwrap_or_default();
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nmangobend-request: {id}\r\nmangobend-signature: s\r\n\
-                 content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-            );
-            if stream.write_all(head.as_bytes()).is_err() {
+            let streams = self.spec.form == AnswerForm::Stream;
+            if streams && stream.write_all(&stream_head(&request)).is_err() {
                 return;
             }
             thread::sleep(self.spec.begin);
@@ -140,9 +155,12 @@
                 self.crash();
                 return;
             }
-            let event = "id: 1\ndata: one\n\n";
-            let body = format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len());
-            if stream.write_all(body.as_bytes()).is_err() {
+            let answer = match streams {
+                true => stream_body(),
+                false if request.head.starts_with("POST /run ") => run_answer(&request),
+                false => signed_response(&request, "200 OK", "content-length: 4\r\n", "fine"),
+            };
+            if stream.write_all(&answer).is_err() {
                 return;
             }
         }
@@ -162,6 +180,41 @@
     }
 }
 
+impl Poison {
+    fn is_in(&self, request: &ReceivedRequest) -> bool {
+        match self {
+            Self::Part(part) => {
+                let parts = request.header("mangobend-parts").unwrap_or_default();
+                let mut ids = parts.split(',').map(|it| it.split(':').next().unwrap_or(it));
+                ids.any(|it| it == part)
+            }
+            Self::Body(text) => String::from_utf8_lossy(&request.body).contains(text),
+        }
+    }
+}
+
+fn stream_head(request: &ReceivedRequest) -> Vec<u8> {
+    let headers = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+    signed_response(request, "200 OK", headers, "")
+}
+
+fn stream_body() -> Vec<u8> {
+    let event = "id: 1\ndata: one\n\n";
+    format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()).into_bytes()
+}
+
+/// The answer to a call of the project's own interface: one piece.
+fn run_answer(request: &ReceivedRequest) -> Vec<u8> {
+    let Ok(RunRequest { ident, .. }) = serde_json::from_slice(&request.body) else {
+        return b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n".to_vec();
+    };
+    let piece = RunLine::Piece { ident: ident.clone(), number: 0, data: "fine".to_owned() };
+    let done = RunLine::Done { ident, pieces: 1, tokens: Tokens(1) };
+    let line = |it| serde_json::to_string(&it).expect("a line serializes to JSON") + "\n";
+    let body = line(piece) + &line(done);
+    signed_response(request, "200 OK", &format!("content-length: {}\r\n", body.len()), &body)
+}
+
 /// Reads the next request of a connection.
 fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut bytes = Vec::new();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use {
     control::Control,
-    crashing::{Arrival, CrashSpec, CrashingEndpoint},
+    crashing::{AnswerForm, Arrival, CrashSpec, CrashingEndpoint, Poison},
     framed_answer::{AnswerEnd, AnswerFraming, FramedAnswer, signed_response},
     limited::LimitedEndpoint,
     record::{Record, RunRecord},
