--- /dev/null
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -0,0 +1,376 @@
+//! Finds the requests, or the part of prompts, under which endpoints crash.
+//!
+//! What crashes each endpoint that begins to run it is in some request of each of these
+//! crashes, and in no request that is answered. Everything else is answered again and
+//! again meanwhile. Parts of prompts and whole requests are suspects alike; they differ in
+//! what makes crashes independent of each other, and in how many are needed.
+
+use {
+    crate::{
+        ids::{EndpointName, Generation, PoolName},
+        tables::{Suspect, SuspectKey},
+        time::{Millis, Time},
+    },
+    indexmap::{IndexMap, IndexSet},
+    serde::{Deserialize, Serialize},
+    std::collections::VecDeque,
+};
+
+/// How long crashes count.
+pub const CRASH_WINDOW: Millis = Millis(120_000);
+/// Crashes closer together than this count once against a part of prompts: a rack or a
+/// domain that fails takes many endpoints at the same moment, with whatever they run.
+const MOMENT_GAP: Millis = Millis(200);
+/// The number of moments at which endpoints crashed under a part before it is withheld. A
+/// rarely used part may be hit twice or three times by crashes of other causes.
+const MIN_PART_CRASHES: usize = 4;
+/// The number of endpoints that crashed one after the other under a request before it is
+/// withheld.
+const MIN_REQUEST_CRASHES: usize = 3;
+/// With as many, a request is on trial.
+const TRIAL_CRASHES: usize = 2;
+/// With as many, a request is withheld although another was at all the same crashes.
+const MIN_TIED_CRASHES: usize = 5;
+/// By how much a request may seem to have been sent before an earlier crash and still
+/// count as sent after it: the times are those of different instances.
+const ORDER_TOLERANCE: Millis = Millis(20);
+/// How long after the decisive crash answers are waited for: instances learn of suspects
+/// and report answers within two renewals.
+const SETTLE_TIME: Millis = Millis(1000);
+/// The maximum number of crashes that are remembered, and of requests of one of them.
+const MAX_CRASHES: usize = 64;
+const MAX_REQUESTS: usize = 64;
+/// The maximum number of suspects that instances are told.
+const MAX_SUSPECTS: usize = 32;
+/// How often the suspects are worked out anew without news, and with.
+const REFRESH_INTERVAL: Millis = Millis(1000);
+const MIN_REFRESH_INTERVAL: Millis = Millis(100);
+
+/// A request that ended at an endpoint's crash, without its whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    pub endpoint: EndpointName,
+    pub generation: Generation,
+    pub pool: PoolName,
+    /// The shared parts of its prompt in order, if no byte of the answer had arrived, and
+    /// the request itself.
+    #[serde(rename = "parts")]
+    pub suspects: Vec<Suspect>,
+    /// Tells requests with different prompts apart: the request with all parts of its
+    /// prompt. Earlier builds don't report it.
+    #[serde(default)]
+    pub source: Option<Suspect>,
+    /// Whether the endpoint had begun to answer: the head had arrived.
+    pub began: bool,
+    /// How long the request had been at the endpoint.
+    #[serde(default)]
+    pub ran: Millis,
+    /// How long before the renewal was sent the connection ended.
+    #[serde(default)]
+    pub age: Millis,
+}
+
+/// A request at a crash.
+#[derive(Debug)]
+struct LostRequest {
+    suspects: Vec<Suspect>,
+    source: Option<Suspect>,
+    began: bool,
+    sent: Time,
+}
+
+impl LostRequest {
+    fn request(&self) -> Option<&Suspect> {
+        self.suspects.iter().find(|it| it.is_request())
+    }
+}
+
+#[derive(Debug)]
+struct Crash {
+    at: Time,
+    endpoint: EndpointName,
+    generation: Generation,
+    pool: PoolName,
+    requests: Vec<LostRequest>,
+}
+
+impl Crash {
+    /// Adds a request. Of copies of one that which was sent last counts.
+    fn add(&mut self, request: LostRequest) {
+        let is_same = |it: &LostRequest| {
+            it.suspects == request.suspects
+                && it.source == request.source
+                && it.began == request.began
+        };
+        match self.requests.iter().position(is_same) {
+            Some(at) => {
+                let known = &mut self.requests[at];
+                known.sent = known.sent.max(request.sent);
+            }
+            None if self.requests.len() < MAX_REQUESTS => self.requests.push(request),
+            None => {}
+        }
+    }
+
+    /// The requests whose parts may have caused it: those whose answer had begun, if there
+    /// are any.
+    fn part_candidates(&self) -> impl Iterator<Item = &LostRequest> {
+        let any_began = self.requests.iter().any(|it| it.began);
+        self.requests.iter().filter(move |it| it.began || !any_began)
+    }
+
+    fn contains(&self, suspect: &Suspect) -> bool {
+        self.requests.iter().any(|it| it.suspects.contains(suspect))
+    }
+}
+
+/// The crashes that speak against one suspect.
+#[derive(Debug, Default)]
+struct Suspicion {
+    /// The crashes that count, by time.
+    crashes: Vec<Time>,
+    /// The greatest position among the suspects of a request. Later ones are shared by
+    /// fewer requests.
+    position: usize,
+    /// The first request with it, and whether there are others.
+    source: Option<Suspect>,
+    is_shared: bool,
+    /// Whether it was at each crash of its pool since the first that counts.
+    explains_all: bool,
+}
+
+/// The crashes that instances have reported, and the answers that clear suspects.
+#[derive(Debug, Default)]
+pub struct CrashEvidence {
+    /// By time.
+    crashes: VecDeque<Crash>,
+    /// When an answer to a suspect was last reported.
+    answered: IndexMap<SuspectKey, Time>,
+    /// When an answer of each pool was last reported.
+    pool_answered: IndexMap<PoolName, Time>,
+    /// What the crashes speak against, as of `refreshed_at`; those with the most crashes
+    /// come first. Nothing else is withheld, since instances don't report answers to it.
+    suspicions: IndexMap<SuspectKey, Suspicion>,
+    refreshed_at: Time,
+    has_news: bool,
+    /// Increases whenever the suspects change.
+    revision: u64,
+}
+
+impl CrashEvidence {
+    /// Records a crash, or another request of a known one.
+    pub fn record_crash(&mut self, now: Time, report: &CrashReport) {
+        if report.suspects.is_empty() {
+            return;
+        }
+        let at = Time(now.0.saturating_sub(report.age.0));
+        let request = LostRequest {
+            suspects: report.suspects.clone(),
+            source: report.source.clone(),
+            began: report.began,
+            sent: Time(at.0.saturating_sub(report.ran.0)),
+        };
+        self.has_news = true;
+        let known = self
+            .crashes
+            .iter_mut()
+            .find(|it| it.endpoint == report.endpoint && it.generation == report.generation);
+        if let Some(crash) = known {
+            crash.add(request);
+            return;
+        }
+        let place = self.crashes.partition_point(|it| it.at <= at);
+        let crash = Crash {
+            at,
+            endpoint: report.endpoint.clone(),
+            generation: report.generation,
+            pool: report.pool.clone(),
+            requests: vec![request],
+        };
+        self.crashes.insert(place, crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Records that a request with a suspect is answered.
+    pub fn record_answer(&mut self, now: Time, key: &SuspectKey) {
+        self.record_pool_answer(now, &key.pool);
+        let mut crashes = self.crashes.iter().filter(|it| it.pool == key.pool);
+        if crashes.any(|it| it.contains(&key.suspect)) {
+            self.answered.insert(key.clone(), now);
+            self.has_news = true;
+        }
+    }
+
+    /// Records that a pool with suspects answers a request.
+    pub fn record_pool_answer(&mut self, now: Time, pool: &PoolName) {
+        if self.crashes.iter().any(|it| it.pool == *pool) {
+            self.pool_answered.insert(pool.clone(), now);
+        }
+    }
+
+    /// Returns what endpoints have crashed under and what wasn't answered since.
+    pub fn suspects(&self) -> Vec<SuspectKey> {
+        self.suspicions.keys().cloned().collect()
+    }
+
+    /// Returns the requests that may be sent by one instance at a time only, since another
+    /// crash would decide.
+    pub fn trials(&self) -> Vec<SuspectKey> {
+        let is_trial = |(key, it): &(&SuspectKey, &Suspicion)| {
+            key.suspect.is_request() && it.crashes.len() >= TRIAL_CRASHES
+        };
+        self.suspicions.iter().filter(is_trial).map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Returns a number that increases whenever the suspects or trials change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns what to withhold now, if there is something: that with the most crashes,
+    /// and of equals what fewer requests share.
+    pub fn suspect_to_withhold(&self, now: Time) -> Option<SuspectKey> {
+        let due = self.suspicions.iter().filter(|(key, it)| self.is_due(now, key, it));
+        due.max_by_key(|(_, it)| (it.crashes.len(), it.position)).map(|(key, _)| key.clone())
+    }
+
+    /// Whether a suspect is to be withheld. None is while its pool answers nothing, unless
+    /// it was at all crashes: then neither parts nor requests are what the pool fails for.
+    fn is_due(&self, now: Time, key: &SuspectKey, it: &Suspicion) -> bool {
+        let is_request = key.suspect.is_request();
+        let needed = if is_request { MIN_REQUEST_CRASHES } else { MIN_PART_CRASHES };
+        let Some(decisive) = it.crashes.get(needed - 1) else {
+            return false;
+        };
+        let is_settled = now.since(*decisive) >= SETTLE_TIME;
+        let answers = self.pool_answered.get(&key.pool).is_some_and(|at| *at > it.crashes[0]);
+        match is_request {
+            true => is_settled && (answers || it.explains_all) && !self.is_tied(key, it),
+            false => is_settled && answers && it.is_shared,
+        }
+    }
+
+    /// Whether another request was at as many crashes, so that the next has to tell.
+    fn is_tied(&self, key: &SuspectKey, suspicion: &Suspicion) -> bool {
+        let count = suspicion.crashes.len();
+        let mut others = self.suspicions.iter().filter(|(other, _)| {
+            other.pool == key.pool && other.suspect.is_request() && *other != key
+        });
+        count < MIN_TIED_CRASHES && others.any(|(_, it)| it.crashes.len() >= count)
+    }
+
+    /// Drops what no longer counts, and works out the suspects. `withheld` is what is
+    /// withheld already; crashes that it explains count against nothing else.
+    pub fn tick(&mut self, now: Time, withheld: &IndexSet<SuspectKey>) {
+        let gap = if self.has_news { MIN_REFRESH_INTERVAL } else { REFRESH_INTERVAL };
+        let is_idle = self.crashes.is_empty() && self.suspicions.is_empty();
+        if is_idle || now.since(self.refreshed_at) < gap {
+            return;
+        }
+        self.refreshed_at = now;
+        self.has_news = false;
+        while self.crashes.front().is_some_and(|it| now.since(it.at) > CRASH_WINDOW) {
+            self.crashes.pop_front();
+        }
+        self.answered.retain(|_, at| now.since(*at) <= CRASH_WINDOW);
+        self.pool_answered.retain(|_, at| now.since(*at) <= CRASH_WINDOW);
+        let found = self.find_suspicions(withheld);
+        let trials = self.trials();
+        let known = std::mem::replace(&mut self.suspicions, found);
+        let is_same = known.len() == self.suspicions.len()
+            && known.keys().all(|it| self.suspicions.contains_key(it))
+            && trials == self.trials();
+        self.revision += u64::from(!is_same);
+    }
+
+    fn find_suspicions(&self, withheld: &IndexSet<SuspectKey>) -> IndexMap<SuspectKey, Suspicion> {
+        let mut rows: IndexMap<SuspectKey, Suspicion> = IndexMap::new();
+        for crash in &self.crashes {
+            let known: Vec<&Suspect> = withheld
+                .iter()
+                .filter(|it| it.pool == crash.pool && crash.contains(&it.suspect))
+                .map(|it| &it.suspect)
+                .collect();
+            if known.is_empty() {
+                self.add_requests(&mut rows, crash);
+            }
+            if !known.iter().any(|it| !it.is_request()) {
+                self.add_parts(&mut rows, crash, &known);
+            }
+        }
+        for (key, row) in rows.iter_mut().filter(|(key, _)| key.suspect.is_request()) {
+            let mut later =
+                self.crashes.iter().filter(|it| it.pool == key.pool && it.at >= row.crashes[0]);
+            row.explains_all = later.all(|it| it.contains(&key.suspect));
+        }
+        rows.sort_by(|_, a, _, b| b.crashes.len().cmp(&a.crashes.len()));
+        rows.truncate(MAX_SUSPECTS);
+        rows
+    }
+
+    /// Counts a crash against the requests that were sent to the endpoint after the last
+    /// crash that counts against them. What fails at the same moment as others thus counts
+    /// once, and each retry of a request by itself.
+    fn add_requests(&self, rows: &mut IndexMap<SuspectKey, Suspicion>, crash: &Crash) {
+        for (lost, suspect) in crash.requests.iter().filter_map(|it| Some((it, it.request()?))) {
+            let key = SuspectKey { pool: crash.pool.clone(), suspect: suspect.clone() };
+            if self.is_cleared(&key, crash) {
+                continue;
+            }
+            let row = rows.entry(key).or_default();
+            row.position = lost.suspects.len();
+            let last = row.crashes.last();
+            if last.is_none_or(|it| crash.at > *it && lost.sent + ORDER_TOLERANCE >= *it) {
+                row.crashes.push(crash.at);
+            }
+        }
+    }
+
+    /// Counts a crash against the parts of its requests. If requests that are withheld were
+    /// among these, it counts against their parts only, which may be what they crash it for.
+    fn add_parts(
+        &self,
+        rows: &mut IndexMap<SuspectKey, Suspicion>,
+        crash: &Crash,
+        withheld: &[&Suspect],
+    ) {
+        for lost in crash.part_candidates() {
+            let is_known = lost.request().is_some_and(|it| withheld.contains(&it));
+            if !withheld.is_empty() && !is_known {
+                continue;
+            }
+            let parts = lost.suspects.iter().enumerate().filter(|(_, it)| !it.is_request());
+            for (position, part) in parts {
+                let key = SuspectKey { pool: crash.pool.clone(), suspect: part.clone() };
+                if self.is_cleared(&key, crash) {
+                    continue;
+                }
+                let row = rows.entry(key).or_default();
+                row.position = row.position.max(position);
+                row.add_source(lost.source.as_ref());
+                let last = row.crashes.last();
+                if last.is_none_or(|it| crash.at.since(*it) >= MOMENT_GAP) {
+                    row.crashes.push(crash.at);
+                }
+            }
+        }
+    }
+
+    /// Whether a request with a suspect was answered after a crash.
+    fn is_cleared(&self, key: &SuspectKey, crash: &Crash) -> bool {
+        self.answered.get(key).is_some_and(|it| *it >= crash.at)
+    }
+}
+
+impl Suspicion {
+    /// Notes a request that has the part.
+    fn add_source(&mut self, source: Option<&Suspect>) {
+        match (source, &self.source) {
+            (Some(source), None) => self.source = Some(source.clone()),
+            (Some(source), Some(known)) => self.is_shared |= source != known,
+            (None, _) => self.is_shared = true,
+        }
+    }
+}
--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -6,7 +6,7 @@
     crate::{
         ids::NodeId,
         raft::HEARTBEAT_INTERVAL,
-        tables::{Command, PartKey},
+        tables::{Command, SuspectKey},
         time::{Millis, Time},
     },
     std::net::SocketAddr,
@@ -31,10 +31,10 @@
 const MIN_VOTERS: usize = 5;
 /// The interval between two searches for a learner that has caught up.
 const PROMOTION_INTERVAL: Millis = Millis(200);
-/// How long a part of prompts is withheld: long enough that its callers have given up, so
-/// that a part that goes on to crash endpoints costs few of them an hour.
+/// How long a suspect is withheld: long enough that its callers have given up, so that one
+/// that goes on to crash endpoints costs few of them an hour.
 const WITHHOLD_TIME: Millis = Millis(600_000);
-/// How long a proposal to withhold a part may take before it is made again.
+/// How long a proposal to withhold a suspect may take before it is made again.
 const PROPOSAL_RETRY: Millis = Millis(1000);
 
 impl Voter {
@@ -84,28 +84,28 @@
             .collect()
     }
 
-    /// Proposes to withhold a part of prompts under which endpoints crash, and to release
-    /// those that were withheld for long.
-    pub(super) fn update_withheld_parts(&mut self, now: Time) {
-        let withheld = &self.state.tables.withheld_parts;
-        self.parts.tick(now, withheld);
+    /// Proposes to withhold what endpoints crash under, and to release what was withheld
+    /// for long.
+    pub(super) fn update_withheld(&mut self, now: Time) {
+        let withheld = &self.state.tables.withheld;
+        self.crashes.tick(now, withheld);
         self.withheld_since
             .retain(|key, since| withheld.contains(key) || now.since(*since) < PROPOSAL_RETRY);
         for key in withheld {
             self.withheld_since.entry(key.clone()).or_insert(now);
         }
-        let is_over = |(key, since): (&PartKey, &Time)| {
+        let is_over = |(key, since): (&SuspectKey, &Time)| {
             (withheld.contains(key) && now.since(*since) >= WITHHOLD_TIME).then(|| key.clone())
         };
         if let Some(key) = self.withheld_since.iter().find_map(is_over) {
             self.withheld_since.insert(key.clone(), now);
-            let _ = self.raft.propose(Command::ReleasePart(key));
+            let _ = self.raft.propose(Command::Release(key));
             return;
         }
-        let found = self.parts.part_to_withhold(now);
+        let found = self.crashes.suspect_to_withhold(now);
         if let Some(key) = found.filter(|it| !self.withheld_since.contains_key(it)) {
             self.withheld_since.insert(key.clone(), now);
-            let _ = self.raft.propose(Command::WithholdPart(key));
+            let _ = self.raft.propose(Command::Withhold(key));
         }
     }
 
--- a/crates/coord/src/control/feed.rs
+++ b/crates/coord/src/control/feed.rs
@@ -97,10 +97,7 @@
         }
         let start = self.start_after(applied);
         let is_new = |it: &Row| {
-            matches!(
-                it.delta,
-                Delta::CatalogEdit(_) | Delta::WithholdPart(_) | Delta::ReleasePart(_)
-            )
+            matches!(it.delta, Delta::CatalogEdit(_) | Delta::Withhold(_) | Delta::Release(_))
         };
         let whole = self.rows.len() - start > MAX_UPDATE_DELTAS
             || !self.reaches(applied)
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! copy of it. The leader grants leases and endpoint shares. Every instance
 //! renews its lease with the leader and routes by its own copy of the tables.
 
+mod crash_evidence;
 mod duties;
 mod endpoints;
 mod envelope;
@@ -10,7 +11,6 @@
 mod guard;
 mod holder;
 mod leases;
-mod part_evidence;
 mod renew;
 mod renewals;
 mod shares;
@@ -20,6 +20,7 @@
 mod voter;
 
 pub use {
+    crash_evidence::{CRASH_WINDOW, CrashEvidence, CrashReport},
     endpoints::EndpointTable,
     envelope::{Envelope, PeerRefusal},
     feed::Feed,
@@ -27,7 +28,6 @@
     guard::PeerGuard,
     holder::{HolderChange, LeaseHolder},
     leases::{LEASE_DURATION, LEASE_MARGIN, LeaseRow, LeaseTable},
-    part_evidence::{CrashReport, PartEvidence},
     renew::{
         Demand, EndpointFault, EndpointReport, FaultKind, Grants, Holding, LONG_POLL, RenewError,
         RenewReply, RenewRequest, TeamUse, Update,
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -12,7 +12,7 @@
         },
         limits::{LimitReply, LimitRequest},
         packed::Packed,
-        tables::{Delta, PartKey, Tables},
+        tables::{Delta, SuspectKey, Tables},
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -53,12 +53,16 @@
     pub demand: Vec<Demand>,
     /// The teams with requests in flight here.
     pub teams: Vec<TeamUse>,
-    /// Requests without a byte of an answer that ended at crashes of endpoints.
+    /// Requests that ended at crashes of endpoints.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashReport>,
-    /// Suspects that an endpoint has begun to answer here.
+    /// Suspects that were answered here: parts of prompts with the first byte of an
+    /// answer, requests with the whole answer.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub answered: Vec<PartKey>,
+    pub answered: Vec<SuspectKey>,
+    /// The pools with suspects that have answered some request here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub answered_pools: Vec<PoolName>,
     /// `None` from an instance of an earlier build.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<LimitRequest>,
@@ -163,10 +167,13 @@
     pub teams: Vec<TeamUse>,
     /// Whether the next request should have all shares held.
     pub want_holdings: bool,
-    /// The parts of prompts under which endpoints have crashed. The next requests should
-    /// name those that are answered all the same.
+    /// What endpoints have crashed under. The next renewals should name those that are
+    /// answered all the same.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectKey>,
+    /// The suspected requests that only one instance may send, one at a time.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub suspects: Vec<PartKey>,
+    pub trials: Vec<SuspectKey>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<LimitReply>,
 }
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -52,10 +52,13 @@
             self.limits.add_demand(holder, &limits.demand);
         }
         for it in &request.crashes {
-            self.parts.record_crash(now, it);
+            self.crashes.record_crash(now, it);
         }
         for it in &request.answered {
-            self.parts.record_answer(now, it);
+            self.crashes.record_answer(now, it);
+        }
+        for it in &request.answered_pools {
+            self.crashes.record_pool_answer(now, it);
         }
         for it in &request.reports {
             self.endpoints.record_report(it, now);
@@ -104,8 +107,9 @@
         if self.renewals.is_empty() {
             return;
         }
-        let changed = self.last_answered != (self.shares.revision(), self.feed.last());
-        self.last_answered = (self.shares.revision(), self.feed.last());
+        let state = (self.shares.revision(), self.crashes.revision(), self.feed.last());
+        let changed = self.last_answered != state;
+        self.last_answered = state;
         let due = |it: &Renewal| changed || now >= it.deadline || self.has_limit_news(now, it);
         let nodes = self.renewals.iter().filter(|(_, it)| due(it)).map(|(node, _)| *node);
         let nodes: Vec<NodeId> = nodes.collect();
@@ -147,7 +151,8 @@
         }
         let has_update = it.request.applied < self.feed.last() || it.request.applied == Index(0);
         let first = self.leases.get(node).is_none_or(|row| row.until <= now + LEASE_DURATION);
-        let news = self.has_limit_news(now, it);
+        let told = self.told_suspects.get(&node).copied().unwrap_or_default();
+        let news = self.has_limit_news(now, it) || told != self.crashes.revision();
         if grants.is_none() && !has_update && !first && known && !news && now < it.deadline {
             return;
         }
@@ -159,6 +164,7 @@
             version: it.request.version,
         };
         self.leases.grant(now, node, row);
+        self.told_suspects.insert(node, self.crashes.revision());
         let mut reply = self.reply(&it.request, grants);
         let held = now.since(it.received);
         reply.limits = it.request.limits.as_ref().map(|limits| LimitReply {
@@ -219,7 +225,8 @@
             teams: self.teams.totals(&request.teams),
             grants,
             want_holdings: !self.shares.contains(holder_of(request)),
-            suspects: self.parts.suspects(),
+            suspects: self.crashes.suspects(),
+            trials: self.crashes.trials(),
             limits: None,
         }
     }
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable, MemberStatus, PartEvidence,
+        CrashEvidence, EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable, MemberStatus,
         RenewError, RenewReply, RenewRequest, ShareHolder, ShareTable, Status, TeamTable,
         UpdateCounts, UpdateStats,
     },
@@ -12,7 +12,7 @@
         raft::{
             Config, Entry, Message, Payload, ProposeError, Raft, RestoredState, Role, Snapshot,
         },
-        tables::{Command, Outcome, PartKey, State},
+        tables::{Command, Outcome, State, SuspectKey},
         time::Time,
     },
     indexmap::IndexMap,
@@ -79,17 +79,19 @@
     /// Who waits for the outcome of an entry, and the term in which it was proposed.
     pub(super) pending: IndexMap<Index, (Term, Vec<Token>)>,
     pub(super) renewals: IndexMap<NodeId, Renewal>,
-    /// The revision of the shares and the last delta when delayed renewals were last
-    /// answered.
-    pub(super) last_answered: (u64, Index),
+    /// The revisions of the shares and the suspects, and the last delta, when delayed
+    /// renewals were last answered.
+    pub(super) last_answered: (u64, u64, Index),
     pub(super) leases: LeaseTable,
     pub(super) shares: ShareTable,
     pub(super) teams: TeamTable,
     pub(super) endpoints: EndpointTable,
     pub(super) limits: LimitTable,
-    pub(super) parts: PartEvidence,
-    /// When this leader first saw each withheld part, or proposed to withhold it.
-    pub(super) withheld_since: IndexMap<PartKey, Time>,
+    pub(super) crashes: CrashEvidence,
+    /// The revision of the suspects that each instance was told last.
+    pub(super) told_suspects: IndexMap<NodeId, u64>,
+    /// When this leader first saw each withheld suspect, or proposed to withhold it.
+    pub(super) withheld_since: IndexMap<SuspectKey, Time>,
     /// When the leases of registered holders were found to have expired.
     pub(super) lease_ends: IndexMap<ShareHolder, Time>,
     /// The term in which this voter leads.
@@ -117,13 +119,14 @@
             update_stats: UpdateStats::default(),
             pending: IndexMap::new(),
             renewals: IndexMap::new(),
-            last_answered: (0, start),
+            last_answered: (0, 0, start),
             leases: LeaseTable::default(),
             shares: ShareTable::default(),
             teams: TeamTable::default(),
             endpoints: EndpointTable::default(),
             limits: LimitTable::default(),
-            parts: PartEvidence::default(),
+            crashes: CrashEvidence::default(),
+            told_suspects: IndexMap::new(),
             withheld_since: IndexMap::new(),
             lease_ends: IndexMap::new(),
             leading_term: None,
@@ -191,7 +194,7 @@
         }
         self.expire_holders(now);
         self.allocate(now);
-        self.update_withheld_parts(now);
+        self.update_withheld(now);
         self.propose_cleanup(now);
         self.promote(now);
         self.grant_sends(now);
@@ -449,7 +452,8 @@
         self.teams = TeamTable::default();
         self.lease_ends.clear();
         self.limits = LimitTable::start(self.raft.term(), now);
-        self.parts = PartEvidence::default();
+        self.crashes = CrashEvidence::default();
+        self.told_suspects.clear();
         self.withheld_since.clear();
         self.endpoints = EndpointTable::default();
         self.endpoints.reload(&self.state.tables, now);
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod queue_waits;
 mod shard;
 mod stage_plan;
+mod trials;
 
 pub use {
     attempts::{AttemptOutcome, Attempts, NextAction},
@@ -23,4 +24,5 @@
     queue_waits::QueueWaits,
     shard::{Shard, is_split, shards},
     stage_plan::{StagePlan, StageProgress},
+    trials::Trials,
 };
--- a/crates/coord/src/router/action.rs
+++ b/crates/coord/src/router/action.rs
@@ -6,11 +6,12 @@
     crate::{
         claims::{RequestDigest, Settlement},
         ids::{
-            AttemptId, ClaimKey, Class, EndpointName, Fence, PoolName, RequestId, RouteName,
-            StageName, TeamName, Tokens,
+            AttemptId, ClaimKey, Class, EndpointName, Fence, Generation, PoolName, RequestId,
+            RouteName, StageName, TeamName, Tokens,
         },
         limits::LimitNotice,
         relay::EndpointNotice,
+        tables::Suspect,
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -30,9 +31,12 @@
 pub struct EndpointCall {
     pub ident: AttemptIdent,
     pub endpoint: EndpointName,
+    pub generation: Generation,
     pub addr: SocketAddr,
     pub pool: PoolName,
     pub class: Class,
+    /// The request that the call belongs to.
+    pub origin: RequestOrigin,
     /// The time until the request's deadline.
     pub remaining: Millis,
     /// The first piece to send; earlier ones have been received.
@@ -42,6 +46,21 @@
     pub input: Arc<str>,
 }
 
+/// What makes a request the same as another one.
+#[derive(Debug, Clone)]
+pub struct RequestOrigin {
+    pub route: RouteName,
+    pub team: TeamName,
+    pub input: Arc<str>,
+}
+
+impl RequestOrigin {
+    /// Returns the request as a suspect.
+    pub fn suspect(&self) -> Suspect {
+        Suspect::Request(RequestDigest::of(&self.route, &self.team, &self.input))
+    }
+}
+
 /// The parameters of a claim.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimParams {
--- a/crates/coord/src/router/admission.rs
+++ b/crates/coord/src/router/admission.rs
@@ -5,7 +5,7 @@
     super::{
         Action, Failure, FairQueue, Finish, Reason, Router, Submission, Waiter,
         request::{EffectState, Phase, Request},
-        router::MIN_RETRY_AFTER,
+        router::{MIN_RETRY_AFTER, is_withheld},
     },
     crate::{
         ids::{PoolName, RequestId},
@@ -14,6 +14,9 @@
     },
 };
 
+/// The `retry_after` of withheld requests: longer than callers wait, since they are
+/// withheld for minutes.
+const RETRY_AFTER_WITHHELD: Millis = Millis(60_000);
 /// The expected endpoint time of a stage with too few measurements.
 const UNMEASURED_COST: Millis = Millis(50);
 
@@ -56,6 +59,11 @@
             let failure = Failure::not_run(Reason::Overload, "too many requests are held");
             return Err(failure.retry_after(MIN_RETRY_AFTER));
         }
+        let origin = submission.origin();
+        if route.stages.iter().any(|it| is_withheld(&self.tables, &it.pool, &origin)) {
+            let failure = Failure::not_run(Reason::Withheld, "the request crashes endpoints");
+            return Err(failure.retry_after(RETRY_AFTER_WITHHELD));
+        }
         let stages = route.sorted_stages().expect("routes in the tables are validated");
         self.check_expected_time(submission, &stages)?;
         Ok(stages)
--- a/crates/coord/src/router/answer.rs
+++ b/crates/coord/src/router/answer.rs
@@ -45,6 +45,8 @@
     Deadline,
     /// A limit on held or queued requests is reached.
     Overload,
+    /// The request crashes endpoints and is withheld from them.
+    Withheld,
     /// A stage failed and must not or cannot be retried.
     StageFailed,
     /// The caller disconnected.
--- a/crates/coord/src/router/attempts.rs
+++ b/crates/coord/src/router/attempts.rs
@@ -138,6 +138,10 @@
         report.tokens.0 += tokens.0;
         report.endpoint = Some(attempt.endpoint.clone());
         let (stage, size) = (row.stage().clone(), row.submission.input.len());
+        let origin = row.origin();
+        self.record_answer(&stage.pool, &origin);
+        self.end_trial(&stage.pool, &origin);
+        let row = self.requests.get_mut(&request).expect("an attempt has its request");
         let mean = self.estimator.mean(&stage.pool, &stage.name, size);
         self.picker.record(&attempt.endpoint, took, mean);
         self.estimator.record(&stage.pool, &stage.name, size, took);
@@ -185,6 +189,9 @@
             row.effect = EffectState::NotSent;
         }
         exclude(row, &attempt.endpoint);
+        let (pool, origin) = (row.stage().pool.clone(), row.origin());
+        self.end_trial(&pool, &origin);
+        let row = self.requests.get_mut(&attempt.request).expect("an attempt has its request");
         let none_ran = row.stage == 0 && row.reports[0].busy == Millis(0);
         let all_refused = row.reports[0].attempts <= row.refusals;
         if none_ran && all_refused {
@@ -220,7 +227,10 @@
             row.refusals += 1;
             let all_unsent = row.stage == 0 && row.reports[0].attempts <= row.refusals;
             row.begun &= !all_unsent;
+            let (pool, origin) = (row.stage().pool.clone(), row.origin());
+            self.end_trial(&pool, &origin);
         }
+        let row = &self.requests[&attempt.request];
         if !has_running_attempt(row) {
             self.retry(now, attempt.request, detail);
         }
@@ -247,7 +257,8 @@
         let row = self.requests.get_mut(&id).expect("the request is held");
         let tried = row.report().attempts;
         let resumes = row.pieces > 0;
-        if tried >= MAX_ATTEMPTS {
+        let (pool, origin) = (row.stage().pool.clone(), row.origin());
+        if tried >= MAX_ATTEMPTS || row.begun && self.is_suspect(&pool, &origin) {
             self.fail(now, id, Reason::StageFailed, detail);
             return;
         }
--- a/crates/coord/src/router/mod.rs
+++ b/crates/coord/src/router/mod.rs
@@ -16,7 +16,7 @@
 mod stats;
 
 pub use {
-    action::{Action, AttemptEvent, AttemptIdent, ClaimParams, EndpointCall},
+    action::{Action, AttemptEvent, AttemptIdent, ClaimParams, EndpointCall, RequestOrigin},
     answer::{Failure, Finish, Outcome, Reason, StageReport},
     attempts::MAX_OUTPUT_BYTES,
     budget::{RetryBudget, RetryBudgetConfig},
--- a/crates/coord/src/router/request.rs
+++ b/crates/coord/src/router/request.rs
@@ -1,7 +1,7 @@
 //! Requests and attempts in progress.
 
 use {
-    super::{Outcome, StageReport},
+    super::{Outcome, RequestOrigin, StageReport},
     crate::{
         ids::{
             AttemptId, ClaimKey, Class, EndpointName, Fence, Generation, PoolName, RequestId,
@@ -26,6 +26,17 @@
     pub stream: bool,
 }
 
+impl Submission {
+    /// Returns what makes it the same as another request.
+    pub fn origin(&self) -> RequestOrigin {
+        RequestOrigin {
+            route: self.route.clone(),
+            team: self.team.clone(),
+            input: self.input.clone(),
+        }
+    }
+}
+
 /// What a request is waiting for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -87,6 +98,10 @@
 }
 
 impl Request {
+    pub fn origin(&self) -> RequestOrigin {
+        self.submission.origin()
+    }
+
     pub fn stage(&self) -> &Stage {
         &self.stages[self.stage]
     }
--- a/crates/coord/src/router/router.rs
+++ b/crates/coord/src/router/router.rs
@@ -4,18 +4,19 @@
 use {
     super::{
         Action, AttemptIdent, EndpointCall, Estimator, Failure, FairQueue, Finish, Outcome, Picker,
-        Policy, Reason, RetryBudget, RetryBudgetConfig, Stats,
+        Policy, Reason, RequestOrigin, RetryBudget, RetryBudgetConfig, Stats,
         request::{Attempt, EffectState, Phase, Request},
     },
     crate::{
         control::{Demand, EndpointFault, EndpointReport, FaultKind, Grants, Holding, TeamUse},
         ids::{AttemptId, EndpointName, Generation, PoolName, RequestId, TeamName},
         limits::SharedGate,
-        tables::Tables,
+        relay::Trials,
+        tables::{SuspectKey, Suspects, Tables},
         time::{Millis, Time},
     },
     indexmap::IndexMap,
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// The minimum `retry_after` of a refusal.
@@ -52,6 +53,12 @@
     pub(super) estimator: Estimator,
     pub(super) budget: RetryBudget,
     pub(super) faults: Vec<EndpointFault>,
+    /// What endpoints have crashed under.
+    pub(super) suspects: Arc<Suspects>,
+    /// Sends of requests on trial.
+    pub(super) trials: Trials,
+    /// Suspects that were answered since they were last taken, by pool.
+    pub(super) answered: IndexMap<PoolName, Vec<SuspectKey>>,
     pub(super) actions: Vec<Action>,
     pub(super) stats: Stats,
     /// The number of the last attempt sent.
@@ -66,7 +73,9 @@
 impl Router {
     /// Creates a router that refuses requests until [`Self::set_leased`] is
     /// called.
-    pub fn new(policy: Policy, limits: Limits, now: Time, seed: u64) -> Self {
+    ///
+    /// `own` is the address at which peers reach this instance.
+    pub fn new(policy: Policy, limits: Limits, own: SocketAddr, now: Time, seed: u64) -> Self {
         Self {
             tables: Arc::default(),
             requests: IndexMap::new(),
@@ -77,6 +86,9 @@
             estimator: Estimator::default(),
             budget: RetryBudget::new(RetryBudgetConfig::default(), now),
             faults: Vec::new(),
+            suspects: Arc::default(),
+            trials: Trials::new(own),
+            answered: IndexMap::new(),
             actions: Vec::new(),
             stats: Stats::default(),
             last_attempt: 0,
@@ -98,6 +110,17 @@
         self.tables = tables;
     }
 
+    /// Sets what endpoints have crashed under, so that answers to it are reported.
+    pub fn set_suspects(&mut self, suspects: Arc<Suspects>) {
+        self.suspects = suspects;
+    }
+
+    /// Takes the pools with suspects that have answered requests since the last call, and
+    /// which suspects were among these.
+    pub fn take_answered(&mut self) -> IndexMap<PoolName, Vec<SuspectKey>> {
+        std::mem::take(&mut self.answered)
+    }
+
     /// Replaces all granted shares and updates the reported loads.
     pub fn grant(&mut self, grants: &Grants, loads: &[EndpointReport]) {
         self.picker.grant(grants, loads);
@@ -267,15 +290,48 @@
         let Phase::Queued { since } = request.phase else {
             unreachable!("only a queued request is started");
         };
+        let (pool, origin, begun) = (request.stage().pool.clone(), request.origin(), request.begun);
+        if is_withheld(&self.tables, &pool, &origin) || !self.may_try(now, &pool, &origin) {
+            let reason = if begun { Reason::StageFailed } else { Reason::Withheld };
+            self.fail(now, id, reason, "the request crashes endpoints");
+            return;
+        }
         let request = self.requests.get_mut(&id).expect("the request is held");
         request.report().queued.0 += now.since(since).0;
         request.phase = Phase::Running { attempts: Vec::new() };
         self.budget.earn();
         if !self.send_attempt(now, id, false) {
+            self.end_trial(&pool, &origin);
             self.enqueue(now, id);
         }
     }
 
+    /// Whether a request may be sent to a pool now, as far as it is on trial.
+    fn may_try(&mut self, now: Time, pool: &PoolName, origin: &RequestOrigin) -> bool {
+        if self.suspects.trials.is_empty() {
+            return true;
+        }
+        let key = SuspectKey { pool: pool.clone(), suspect: origin.suspect() };
+        let instances = self.tables.roster.values().map(|it| it.peer);
+        self.trials.may_send(now, &self.suspects, &key, instances)
+    }
+
+    /// Records that a request on trial was answered, or not sent.
+    pub(super) fn end_trial(&mut self, pool: &PoolName, origin: &RequestOrigin) {
+        if !self.suspects.trials.is_empty() {
+            let key = SuspectKey { pool: pool.clone(), suspect: origin.suspect() };
+            self.trials.end(&key);
+        }
+    }
+
+    /// Whether endpoints of a pool have crashed under a request.
+    pub(super) fn is_suspect(&self, pool: &PoolName, origin: &RequestOrigin) -> bool {
+        self.suspects.concern(pool) && {
+            let key = SuspectKey { pool: pool.clone(), suspect: origin.suspect() };
+            self.suspects.all.contains(&key)
+        }
+    }
+
     /// Sends an attempt to a free endpoint; false if there is none.
     pub(super) fn send_attempt(&mut self, now: Time, id: RequestId, hedged: bool) -> bool {
         let request = self.requests.get_mut(&id).expect("the request is held");
@@ -299,6 +355,8 @@
         let send = EndpointCall {
             ident: AttemptIdent { request: id, stage: stage.name, attempt },
             endpoint: picked.name.clone(),
+            generation: picked.generation,
+            origin: request.origin(),
             addr: picked.addr,
             pool: stage.pool,
             class: request.submission.class,
@@ -375,6 +433,16 @@
         self.actions.push(Action::Finish { request: id, finish: Box::new(finish) });
     }
 
+    /// Records that a pool with suspects has answered a request.
+    pub(super) fn record_answer(&mut self, pool: &PoolName, origin: &RequestOrigin) {
+        if !self.suspects.concern(pool) {
+            return;
+        }
+        let key = SuspectKey { pool: pool.clone(), suspect: origin.suspect() };
+        let answered = self.answered.entry(pool.clone()).or_default();
+        answered.extend(self.suspects.all.get(&key).cloned());
+    }
+
     /// Blocks an endpoint and records the fault for the leader.
     pub(super) fn report_fault(&mut self, now: Time, name: &EndpointName, kind: FaultKind) {
         if let Some(generation) = self.picker.block(now, name) {
@@ -382,3 +450,13 @@
         }
     }
 }
+
+/// Whether a request is withheld from a pool.
+pub(super) fn is_withheld(tables: &Tables, pool: &PoolName, origin: &RequestOrigin) -> bool {
+    let is_request = |it: &SuspectKey| it.pool == *pool && it.suspect.is_request();
+    // Most often nothing is withheld, and no digest is needed.
+    tables.withheld.iter().any(is_request) && {
+        let key = SuspectKey { pool: pool.clone(), suspect: origin.suspect() };
+        tables.withheld.contains(&key)
+    }
+}
--- a/crates/coord/src/tables/mod.rs
+++ b/crates/coord/src/tables/mod.rs
@@ -5,10 +5,10 @@
 mod endpoint;
 mod history;
 mod member;
-mod part_key;
 mod pool;
 mod route;
 mod state;
+mod suspect;
 #[allow(clippy::module_inception)]
 mod tables;
 
@@ -17,9 +17,9 @@
     endpoint::{Endpoint, EndpointState},
     history::{ChangeRecord, History, MAX_RECORDS},
     member::Member,
-    part_key::PartKey,
     pool::{Pool, PoolKind},
     route::{MAX_DEADLINE, MAX_STAGES, Route, RouteError, Stage},
     state::{Applied, Command, Outcome, State},
+    suspect::{Suspect, SuspectError, SuspectKey, Suspects},
     tables::{Delta, Tables},
 };
--- a/crates/coord/src/tables/state.rs
+++ b/crates/coord/src/tables/state.rs
@@ -1,7 +1,7 @@
 //! The replicated state machine.
 
 use {
-    super::{Change, ChangeOutcome, Delta, Endpoint, History, Member, PartKey, Tables},
+    super::{Change, ChangeOutcome, Delta, Endpoint, History, Member, SuspectKey, Tables},
     crate::{
         catalog::{Catalog, CatalogDelta},
         claims::{Claim, ClaimError, ClaimOutcome, ClaimRequest, Claims, Settlement},
@@ -52,13 +52,15 @@
         catalog: Arc<Catalog>,
         document: Arc<str>,
     },
-    /// Refuses requests with a part of prompts that crashes endpoints.
-    WithholdPart(PartKey),
-    ReleasePart(PartKey),
+    /// Refuses requests with a property that crashes endpoints.
+    #[serde(rename = "withhold_part")]
+    Withhold(SuspectKey),
+    #[serde(rename = "release_part")]
+    Release(SuspectKey),
 }
 
-/// The most parts of prompts that are withheld at a time.
-const MAX_WITHHELD_PARTS: usize = 256;
+/// The most suspects that are withheld at a time.
+const MAX_WITHHELD: usize = 256;
 
 /// The outcome of a command, for its proposer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -116,8 +118,8 @@
                 without_delta(Outcome::Claim(self.claims.resolve(*key, settlement, author)))
             }
             Command::Catalog { catalog, document } => self.apply_catalog(catalog, document),
-            Command::WithholdPart(key) => self.withhold_part(key),
-            Command::ReleasePart(key) => self.release_part(key),
+            Command::Withhold(key) => self.withhold(key),
+            Command::Release(key) => self.release(key),
         }
     }
 
@@ -199,17 +201,17 @@
         Applied { outcome: Outcome::Done, delta: Some(Delta::CatalogEdit(Packed::new(&delta))) }
     }
 
-    fn withhold_part(&mut self, key: &PartKey) -> Applied {
-        let withheld = &self.tables.withheld_parts;
-        match withheld.contains(key) || withheld.len() >= MAX_WITHHELD_PARTS {
+    fn withhold(&mut self, key: &SuspectKey) -> Applied {
+        let withheld = &self.tables.withheld;
+        match withheld.contains(key) || withheld.len() >= MAX_WITHHELD {
             true => without_delta(Outcome::Stale),
-            false => self.apply_delta(Delta::WithholdPart(key.clone()), Outcome::Done),
+            false => self.apply_delta(Delta::Withhold(key.clone()), Outcome::Done),
         }
     }
 
-    fn release_part(&mut self, key: &PartKey) -> Applied {
-        match self.tables.withheld_parts.contains(key) {
-            true => self.apply_delta(Delta::ReleasePart(key.clone()), Outcome::Done),
+    fn release(&mut self, key: &SuspectKey) -> Applied {
+        match self.tables.withheld.contains(key) {
+            true => self.apply_delta(Delta::Release(key.clone()), Outcome::Done),
             false => without_delta(Outcome::Stale),
         }
     }
--- a/crates/coord/src/tables/tables.rs
+++ b/crates/coord/src/tables/tables.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Edit, EditError, Endpoint, EndpointState, Member, PartKey, Pool, Route, Target,
+        Edit, EditError, Endpoint, EndpointState, Member, Pool, Route, SuspectKey, Target,
         change::error,
     },
     crate::{
@@ -34,9 +34,9 @@
     /// accepted.
     #[serde(default)]
     pub catalog: Arc<Catalog>,
-    /// The parts of prompts that crash endpoints. Requests with one of them are refused.
-    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
-    pub withheld_parts: IndexSet<PartKey>,
+    /// What crashes endpoints. Requests with one of these are refused.
+    #[serde(rename = "withheld_parts", default, skip_serializing_if = "IndexSet::is_empty")]
+    pub withheld: IndexSet<SuspectKey>,
 }
 
 /// An incremental change of the tables, sent to the instances' copies.
@@ -54,8 +54,10 @@
     /// The whole catalog, as earlier builds sent it.
     Catalog(Arc<Catalog>),
     CatalogEdit(Packed<CatalogDelta>),
-    WithholdPart(PartKey),
-    ReleasePart(PartKey),
+    #[serde(rename = "withhold_part")]
+    Withhold(SuspectKey),
+    #[serde(rename = "release_part")]
+    Release(SuspectKey),
 }
 
 impl Tables {
@@ -105,11 +107,11 @@
                 self.roster.shift_remove(id);
             }
             Delta::Catalog(it) => self.catalog = it.clone(),
-            Delta::WithholdPart(it) => {
-                self.withheld_parts.insert(it.clone());
+            Delta::Withhold(it) => {
+                self.withheld.insert(it.clone());
             }
-            Delta::ReleasePart(it) => {
-                self.withheld_parts.shift_remove(it);
+            Delta::Release(it) => {
+                self.withheld.shift_remove(it);
             }
             Delta::CatalogEdit(it) => self.catalog = Arc::new(it.open()?.apply(&self.catalog)?),
         }
--- a/crates/coord/tests/catalog_delta.rs
+++ b/crates/coord/tests/catalog_delta.rs
@@ -85,6 +85,7 @@
         teams: Vec::new(),
         want_holdings: false,
         suspects: Vec::new(),
+        trials: Vec::new(),
         limits: None,
     }
 }
--- a/crates/coord/tests/outer_forms.rs
+++ b/crates/coord/tests/outer_forms.rs
@@ -377,3 +377,21 @@
     let text = serde_json::from_value::<RetryPolicy>(5.into()).expect_err("a type is wrong");
     assert_eq!(text.to_string(), "invalid type: integer `5`, expected string or map");
 }
+
+#[test]
+fn the_stored_json_of_what_is_withheld_is_stable() {
+    let part = r#"{"withhold_part":{"pool":"p","part":"a1"}}"#;
+    let request = concat!(
+        r##"{"release_part":{"pool":"p","part":"##,
+        r##""#0123456789abcdef0123456789abcdef"}}"##
+    );
+
+    for json in [part, request] {
+        let command: Command = serde_json::from_str(json).expect("a stored command is read");
+        assert_eq!(serde_json::to_string(&command).expect("it can be written"), json);
+    }
+    let mut state = State::default();
+    state.apply(Index(1), &serde_json::from_str(part).expect("a stored command is read"));
+    let tables = serde_json::to_value(&state.tables).expect("tables can be written");
+    assert_eq!(tables["withheld_parts"][0]["part"], "a1");
+}
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -62,7 +62,8 @@
 
 /// A router with a lease and two endpoints with `slots` granted slots each.
 fn router(slots: u32) -> Router {
-    let mut router = Router::new(Policy::Shares, Limits::default(), NOW, 1);
+    let own = "127.0.0.1:1".parse().expect("an address");
+    let mut router = Router::new(Policy::Shares, Limits::default(), own, NOW, 1);
     router.reload(router_tables());
     let share = |it: &str| Holding { endpoint: name::<EndpointName>(it), slots: Slots(slots) };
     router.grant(&Grants { number: 1, shares: vec![share("e1"), share("e2")] }, &[]);
--- a/crates/coord/tests/voter_cluster/mod.rs
+++ b/crates/coord/tests/voter_cluster/mod.rs
@@ -217,6 +217,7 @@
             teams: Vec::new(),
             crashes: Vec::new(),
             answered: Vec::new(),
+            answered_pools: Vec::new(),
             limits: None,
             packed: true,
             leaving: false,
--- a/crates/daemon/src/callers/reply.rs
+++ b/crates/daemon/src/callers/reply.rs
@@ -51,7 +51,9 @@
         Reason::KeyExpired | Reason::KeyInFuture => StatusCode::GONE,
         Reason::InProgress | Reason::KeyUnknown => StatusCode::CONFLICT,
         Reason::Overload => StatusCode::TOO_MANY_REQUESTS,
-        Reason::NoLease | Reason::Stopping | Reason::KeysFull => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::NoLease | Reason::Stopping | Reason::KeysFull | Reason::Withheld => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
         Reason::StageFailed | Reason::CallerGone => StatusCode::BAD_GATEWAY,
     }
--- a/crates/daemon/src/core/context.rs
+++ b/crates/daemon/src/core/context.rs
@@ -12,9 +12,8 @@
     coord::{
         limits::SharedGate,
         raft::RestoredState,
-        tables::{PartKey, Tables},
+        tables::{Suspects, Tables},
     },
-    indexmap::IndexSet,
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::AtomicBool},
@@ -38,8 +37,8 @@
     pub ready: Arc<AtomicBool>,
     /// Publishes the replicated tables to the relay.
     pub tables: watch::Sender<Arc<Tables>>,
-    /// Publishes the parts of prompts under which endpoints have crashed.
-    pub suspects: watch::Sender<Arc<IndexSet<PartKey>>>,
+    /// Publishes what endpoints have crashed under.
+    pub suspects: watch::Sender<Arc<Suspects>>,
     /// The gate that sends to limited endpoints pass.
     pub gate: SharedGate,
     pub drain: Arc<DrainState>,
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -24,10 +24,10 @@
         limits::SharedGate,
         raft::{Config, Role},
         router::{Limits, Router},
-        tables::{PartKey, Tables},
+        tables::{Suspects, Tables},
         time::{Millis, Time, WallTime},
     },
-    indexmap::{IndexMap, IndexSet},
+    indexmap::IndexMap,
     stakker::{CX, after, call},
     std::{
         net::SocketAddr,
@@ -99,7 +99,7 @@
     pub(super) meters: Meters,
     pub(super) ready: Arc<AtomicBool>,
     pub(super) tables: watch::Sender<Arc<Tables>>,
-    pub(super) suspects: watch::Sender<Arc<IndexSet<PartKey>>>,
+    pub(super) suspects: watch::Sender<Arc<Suspects>>,
     pub(super) gate: SharedGate,
     pub(super) drain: Arc<DrainState>,
     pub(super) stop: Option<Stop>,
@@ -122,7 +122,8 @@
             queue: context.settings.max_queue,
             flow: context.settings.max_queue.div_ceil(2),
         };
-        let mut router = Router::new(context.settings.policy, limits, now, context.seed);
+        let (policy, own) = (context.settings.policy, context.peer_addr);
+        let mut router = Router::new(policy, limits, own, now, context.seed);
         router.set_gate(context.gate.clone());
         let node = context.identity.node;
         let mut voter = restored.map(|it| Voter::new(node, it, now, context.seed));
@@ -192,8 +193,11 @@
             Event::Deregister { endpoint, committed } => {
                 self.on_deregister(now, &endpoint, committed)
             }
-            Event::EndpointCrashed(report) => self.renewals.add_crash(report),
-            Event::PartsAnswered(keys) => self.renewals.add_answered(keys),
+            Event::EndpointCrashed { report, at } => {
+                let at = self.time(at);
+                self.renewals.add_crash(at, report);
+            }
+            Event::SuspectsAnswered { pool, keys } => self.renewals.add_answered(pool, keys),
             Event::SeedsChanged(seeds) => {
                 log::info!(seeds:? = seeds; "[settings] The addresses to join have changed.");
                 self.renewals.add_seeds(&seeds);
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -34,7 +34,7 @@
                 match &mut self.voter {
                     Some(voter) => {
                         self.pending.insert(token, Pending::Peer(respond));
-                        voter.renew(now, token, request);
+                        voter.renew(now, token, *request);
                     }
                     None => {
                         let err = RenewError::NotLeader { leader: None };
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -12,16 +12,16 @@
     },
     coord::{
         control::{
-            CrashReport, EndpointFault, EndpointReport, PeerGuard, RenewError, RenewReply,
-            RenewRequest, Token,
+            CRASH_WINDOW, CrashReport, EndpointFault, EndpointReport, PeerGuard, RenewError,
+            RenewReply, RenewRequest, Token,
         },
-        ids::{EndpointName, NodeId, SystemId},
+        ids::{EndpointName, NodeId, PoolName, SystemId},
         raft,
-        tables::{Command, Member, Outcome, PartKey, Tables},
+        tables::{Command, Member, Outcome, Suspect, SuspectKey, Suspects, Tables},
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
-    std::{fmt::Display, net::SocketAddr, sync::Arc},
+    std::{collections::VecDeque, fmt::Display, net::SocketAddr, sync::Arc},
 };
 
 /// The least time from a renewal to one that is sent early. It grows with each
@@ -40,15 +40,24 @@
 /// How long a join is retried before it starts over.
 const JOIN_TIMEOUT: Millis = Millis(5000);
 
-/// The most reports of crashes, and of answered suspects, kept for the next renewal.
+/// The most reports of crashes, and of answered suspects, kept for the next renewal, and
+/// of crashes kept for the next leader.
 const MAX_REPORTS: usize = 256;
 
 /// What a renewal reports once. It is reported again if the renewal fails.
 #[derive(Debug, Clone, Default)]
 pub struct Unsettled {
     faults: Vec<EndpointFault>,
-    crashes: Vec<CrashReport>,
-    answered: IndexSet<PartKey>,
+    crashes: Vec<Crash>,
+    answered: IndexSet<SuspectKey>,
+    answered_pools: IndexSet<PoolName>,
+}
+
+/// A report of a crash, and when the request's connection ended.
+#[derive(Debug, Clone)]
+struct Crash {
+    at: Time,
+    report: CrashReport,
 }
 
 impl Unsettled {
@@ -59,11 +68,12 @@
         self.crashes.truncate(MAX_REPORTS);
         self.answered.extend(other.answered);
         self.answered.truncate(MAX_REPORTS);
+        self.answered_pools.extend(other.answered_pools);
     }
 
     /// Whether the leader should learn of it at once.
     fn is_urgent(&self) -> bool {
-        !self.faults.is_empty() || !self.crashes.is_empty()
+        !self.faults.is_empty() || !self.crashes.is_empty() || !self.answered.is_empty()
     }
 }
 
@@ -78,6 +88,8 @@
     sent_at: Time,
     reports: IndexMap<EndpointName, EndpointReport>,
     unsettled: Unsettled,
+    /// The latest crashes, which a new leader is told again.
+    crashes: VecDeque<Crash>,
     leader: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     seed_index: usize,
@@ -101,6 +113,7 @@
             sent_at: Time(0),
             reports: IndexMap::new(),
             unsettled: Unsettled::default(),
+            crashes: VecDeque::new(),
             leader: None,
             seeds: seeds.to_vec(),
             seed_index: 0,
@@ -124,17 +137,35 @@
         self.reports.insert(report.endpoint.clone(), report);
     }
 
-    /// Keeps the report of an endpoint's crash for the next renewal.
-    pub fn add_crash(&mut self, report: CrashReport) {
+    /// Keeps the report of a crash for the next renewal and for the next leader.
+    pub fn add_crash(&mut self, at: Time, report: CrashReport) {
+        let crash = Crash { at, report };
         if self.unsettled.crashes.len() < MAX_REPORTS {
-            self.unsettled.crashes.push(report);
+            self.unsettled.crashes.push(crash.clone());
         }
+        if self.crashes.len() >= MAX_REPORTS {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(crash);
     }
 
-    /// Keeps suspects that were answered for the next renewal.
-    pub fn add_answered(&mut self, keys: Vec<PartKey>) {
+    /// Keeps for the next renewal that a pool has answered a request with these suspects.
+    pub fn add_answered(&mut self, pool: PoolName, keys: Vec<SuspectKey>) {
+        for it in &mut self.crashes {
+            let is_answered = |suspect: &Suspect| keys.iter().any(|it| it.suspect == *suspect);
+            if it.report.pool == pool {
+                it.report.suspects.retain(|it| !is_answered(it));
+            }
+        }
         self.unsettled.answered.extend(keys);
         self.unsettled.answered.truncate(MAX_REPORTS);
+        self.unsettled.answered_pools.insert(pool);
+    }
+
+    /// Returns all crashes that still count, for a leader that doesn't know them.
+    fn known_crashes(&mut self, now: Time) -> Vec<Crash> {
+        self.crashes.retain(|it| now.since(it.at) <= CRASH_WINDOW);
+        self.crashes.iter().filter(|it| !it.report.suspects.is_empty()).cloned().collect()
     }
 
     /// Sets the leader that another instance has named.
@@ -213,6 +244,9 @@
             return;
         }
         self.renewals.unsettled.faults.extend(self.router.take_faults());
+        for (pool, keys) in self.router.take_answered() {
+            self.renewals.add_answered(pool, keys);
+        }
         let early = self.renewals.unsettled.is_urgent()
             || self.router.is_starved(now)
             || self.gate.lock().has_news();
@@ -243,7 +277,7 @@
         self.renewals.sent_at = now;
         self.pending.insert(token, Pending::Renewal { sent_at: now, unsettled });
         match to {
-            Some(to) => self.call_peer(to, Some(token), PeerCall::Renew(request)),
+            Some(to) => self.call_peer(to, Some(token), PeerCall::Renew(Box::new(request))),
             None => {
                 let voter = self.voter.as_mut().expect("a leader is a voter");
                 voter.renew(now, token, request);
@@ -326,6 +360,11 @@
         self.renewals.seq += 1;
         let wants_holdings = self.holder.want_holdings() || self.renewals.seq == 1;
         let limits = self.gate.lock().request(now, self.renewals.seq, wants_holdings);
+        let crashes = match wants_holdings {
+            true => self.renewals.known_crashes(now),
+            false => unsettled.crashes,
+        };
+        let with_age = |it: Crash| CrashReport { age: now.since(it.at), ..it.report };
         RenewRequest {
             node: self.identity.node,
             incarnation: self.identity.incarnation,
@@ -340,8 +379,9 @@
             healthy: self.router.take_succeeded(),
             demand: self.router.demand(),
             teams: self.router.team_usage(),
-            crashes: unsettled.crashes,
+            crashes: crashes.into_iter().map(with_age).collect(),
             answered: unsettled.answered.into_iter().collect(),
+            answered_pools: unsettled.answered_pools.into_iter().collect(),
             limits: Some(limits),
             packed: true,
             leaving,
@@ -352,14 +392,19 @@
     fn apply_reply(&mut self, now: Time, sent_at: Time, mut reply: RenewReply) {
         let had_lease = self.holder.has_lease(now);
         let loads = reply.loads.clone();
-        let suspects: IndexSet<PartKey> = reply.suspects.iter().cloned().collect();
-        self.suspects.send_if_modified(|known| {
-            let changed = **known != suspects;
-            if changed {
-                *known = Arc::new(suspects);
-            }
-            changed
-        });
+        let suspects = Suspects {
+            all: reply.suspects.iter().cloned().collect(),
+            trials: reply.trials.iter().cloned().collect(),
+        };
+        if **self.suspects.borrow() != suspects {
+            log::info!(
+                suspects = suspects.all.len(), on_trial = suspects.trials.len();
+                "[lease] suspects of crashes"
+            );
+            let suspects = Arc::new(suspects);
+            self.router.set_suspects(suspects.clone());
+            self.suspects.send_replace(suspects);
+        }
         self.router.set_team_totals(&reply.teams);
         let (seq, limits) = (reply.seq, reply.limits.take());
         let change = self.holder.apply_reply(now, sent_at, reply);
--- a/crates/daemon/src/endpoints/call.rs
+++ b/crates/daemon/src/endpoints/call.rs
@@ -3,19 +3,23 @@
 use {
     crate::{
         answer_notices::{LEAVING_HEADER, LIMIT_HEADER, read_limit, read_notices},
+        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, is_refusal},
         event::{Event, Inbox},
     },
     coord::{
-        ids::AttemptId,
+        control::CrashReport,
+        ids::{AttemptId, EndpointName, Generation, PoolName},
         limits::{LimitNotice, SharedGate},
-        router::{AttemptEvent, AttemptIdent, EndpointCall},
+        router::{AttemptEvent, AttemptIdent, EndpointCall, RequestOrigin},
+        time::Millis,
         wire::{CancelRequest, RefusalBody, RunLine, RunRequest},
     },
     hyper::header::HeaderName,
     std::{
         io::{BufRead, BufReader, ErrorKind, Read},
-        net::SocketAddr,
-        time::Duration,
+        net::{SocketAddr, TcpStream},
+        thread,
+        time::{Duration, Instant},
     },
     ureq::{Agent, http::StatusCode},
 };
@@ -61,12 +65,63 @@
         .new_agent()
 }
 
-/// Makes a call and reports its events to the core loop. The last event is
-/// never a piece.
+/// Makes a call and reports its events to the core loop, and a crash of the endpoint
+/// under it. The last event of the attempt is never a piece.
 pub fn make_call(agents: &Agents, call: EndpointCall, inbox: &Inbox, gate: &SharedGate) {
     let id = call.ident.attempt;
+    let watched = WatchedCall {
+        endpoint: call.endpoint.clone(),
+        generation: call.generation,
+        addr: call.addr,
+        pool: call.pool.clone(),
+        origin: call.origin.clone(),
+        sent: Instant::now(),
+    };
     let event = post_run(agents, call, inbox, gate);
+    let is_lost = matches!(event, AttemptEvent::Failed { sent: true, .. });
     inbox.send(Event::Attempt { id, event });
+    if is_lost {
+        watched.report_crash(inbox);
+    }
+}
+
+/// What a crash under a call is reported with.
+struct WatchedCall {
+    endpoint: EndpointName,
+    generation: Generation,
+    addr: SocketAddr,
+    pool: PoolName,
+    origin: RequestOrigin,
+    sent: Instant,
+}
+
+impl WatchedCall {
+    /// Reports a crash if nothing listens any more at the endpoint's address.
+    fn report_crash(self, inbox: &Inbox) {
+        let at = Instant::now();
+        thread::sleep(CHECK_DELAY);
+        if !is_refusal(&TcpStream::connect_timeout(&self.addr, CHECK_TIMEOUT)) {
+            return;
+        }
+        let suspect = self.origin.suspect();
+        let ran = Millis(at.duration_since(self.sent).as_millis() as u64);
+        log::info!(
+            endpoint:% = self.endpoint, generation:% = self.generation, pool:% = self.pool,
+            ran_ms = ran.0, digest:% = suspect;
+            "[endpoints] an endpoint crashed under a call"
+        );
+        let report = CrashReport {
+            endpoint: self.endpoint,
+            generation: self.generation,
+            pool: self.pool,
+            source: Some(suspect.clone()),
+            suspects: vec![suspect],
+            began: false,
+            ran,
+            age: Millis(0),
+        };
+        inbox.offer(Event::EndpointCrashed { report, at });
+    }
 }
 
 fn post_run(agents: &Agents, call: EndpointCall, inbox: &Inbox, gate: &SharedGate) -> AttemptEvent {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -9,14 +9,15 @@
     },
     coord::{
         control::{CrashReport, Envelope, Token},
-        ids::{AttemptId, EndpointName, Index, RequestId, SystemId},
+        ids::{AttemptId, EndpointName, Index, PoolName, RequestId, SystemId},
         router::{AttemptEvent, Submission},
-        tables::PartKey,
+        tables::SuspectKey,
         wire::Announcement,
     },
     std::{
         net::SocketAddr,
         sync::mpsc::{SyncSender, TrySendError},
+        time::Instant,
     },
     tokio::sync::{mpsc::UnboundedSender, oneshot},
 };
@@ -48,10 +49,10 @@
     Announce { announcement: Box<Announcement>, committed: Option<oneshot::Sender<bool>> },
     /// An endpoint is deregistered. `committed` is as for an announcement.
     Deregister { endpoint: EndpointName, committed: Option<oneshot::Sender<bool>> },
-    /// An endpoint has crashed under a relayed request.
-    EndpointCrashed(CrashReport),
-    /// An endpoint has begun to answer a request with these suspects.
-    PartsAnswered(Vec<PartKey>),
+    /// An endpoint has crashed under a request, whose connection ended at `at`.
+    EndpointCrashed { report: CrashReport, at: Instant },
+    /// An endpoint of a pool has answered a request with these suspects, or with none.
+    SuspectsAnswered { pool: PoolName, keys: Vec<SuspectKey> },
     /// The addresses to join have changed.
     SeedsChanged(Vec<SocketAddr>),
     /// The Raft log is durable up to this index.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod callers;
 mod chunk_support;
 mod core;
+mod crash_check;
 pub mod disk;
 mod endpoints;
 pub mod event;
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -24,7 +24,7 @@
         to: NodeId,
         message: Message,
     },
-    Renew(RenewRequest),
+    Renew(Box<RenewRequest>),
     Propose(Command),
     Admin(AdminRequest),
 }
--- a/crates/daemon/src/relay/crash_watch.rs
+++ b/crates/daemon/src/relay/crash_watch.rs
@@ -1,45 +1,65 @@
-//! Watches for endpoints that crash under a request, and for answers to the parts of
-//! prompts that are suspected of it.
+//! Watches for endpoints that crash under a request, and for answers to what is suspected
+//! of it.
 
 use {
     super::{record::join_parts, request::RelayRequest},
-    crate::event::{Event, Inbox},
+    crate::{
+        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, is_refusal},
+        event::{Event, Inbox},
+    },
     coord::{
         claims::RequestDigest,
         control::CrashReport,
-        ids::{PoolName, PromptPart},
-        tables::{Endpoint, PartKey},
+        ids::PoolName,
+        relay::{Trials, entry_addrs},
+        tables::{Endpoint, Suspect, SuspectKey, Suspects, Tables},
+        time::{Millis, Time},
     },
-    indexmap::IndexSet,
-    std::{io::ErrorKind, sync::Arc, time::Duration},
+    hyper::header::HeaderValue,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Instant},
     tokio::{net::TcpStream, sync::watch, time::timeout},
 };
 
-/// The time between a broken connection and the check of its endpoint, so that the
-/// listener of a process that ends is gone too.
-const CHECK_DELAY: Duration = Duration::from_millis(50);
-/// How long the check may take. An endpoint that doesn't answer it hasn't crashed in a
-/// way that can be told from a lost link.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Tells the core loop of crashes and answers.
 #[derive(Clone)]
 pub struct CrashWatch {
     inbox: Inbox,
-    suspects: watch::Receiver<Arc<IndexSet<PartKey>>>,
+    suspects: watch::Receiver<Arc<Suspects>>,
+    trials: Rc<RefCell<Trials>>,
 }
 
 impl CrashWatch {
-    /// Creates a watch that reports to `inbox` and follows the list of suspects.
-    pub fn new(inbox: Inbox, suspects: watch::Receiver<Arc<IndexSet<PartKey>>>) -> Self {
-        Self { inbox, suspects }
+    /// Creates a watch that reports to `inbox` and follows the list of suspects. `peer` is
+    /// the address at which peers reach this instance.
+    pub fn new(inbox: Inbox, suspects: watch::Receiver<Arc<Suspects>>, peer: SocketAddr) -> Self {
+        Self { inbox, suspects, trials: Rc::new(RefCell::new(Trials::new(peer))) }
+    }
+
+    /// Whether a request is suspected.
+    pub fn is_suspect(&self, pool: &PoolName, whole: &Suspect) -> bool {
+        let key = SuspectKey { pool: pool.clone(), suspect: whole.clone() };
+        self.suspects.borrow().all.contains(&key)
+    }
+
+    /// Whether a request may be sent now; see [`Trials::may_send`].
+    pub fn may_send(&self, now: Time, tables: &Tables, pool: &PoolName, whole: &Suspect) -> bool {
+        let key = SuspectKey { pool: pool.clone(), suspect: whole.clone() };
+        let suspects = self.suspects.borrow();
+        self.trials.borrow_mut().may_send(now, &suspects, &key, entry_addrs(tables))
     }
 
-    /// Starts to watch one attempt of a request.
+    /// Records that a request on trial was answered, or not sent.
+    pub fn end_trial(&self, pool: &PoolName, whole: &Suspect) {
+        let key = SuspectKey { pool: pool.clone(), suspect: whole.clone() };
+        self.trials.borrow_mut().end(&key);
+    }
+
+    /// Starts to watch one attempt of a request; `whole` is the suspect that stands for
+    /// the request itself.
     pub fn attempt(
         &self,
         request: &RelayRequest,
-        digest: RequestDigest,
+        whole: &Suspect,
         endpoint: &Endpoint,
     ) -> AttemptWatch {
         AttemptWatch {
@@ -48,9 +68,23 @@
             endpoint: endpoint.clone(),
             pool: request.pool.clone(),
             parts: request.parts.clone(),
-            digest,
-            answered: false,
+            whole: whole.clone(),
+            prompt: request.prompt.clone(),
+            began_at: Instant::now(),
+            has_bytes: false,
+        }
+    }
+
+    /// Reports that a request was answered: those of its properties that are suspected, if
+    /// the pool has any suspects.
+    fn report_answer(&self, pool: &PoolName, answered: &[Suspect]) {
+        let suspects = self.suspects.borrow();
+        if !suspects.concern(pool) {
+            return;
         }
+        let key = |suspect: &Suspect| SuspectKey { pool: pool.clone(), suspect: suspect.clone() };
+        let keys = answered.iter().map(key).filter(|it| suspects.all.contains(it)).collect();
+        self.inbox.offer(Event::SuspectsAnswered { pool: pool.clone(), keys });
     }
 }
 
@@ -60,62 +94,62 @@
     request: String,
     endpoint: Endpoint,
     pool: PoolName,
-    parts: Vec<PromptPart>,
-    digest: RequestDigest,
-    answered: bool,
+    parts: Vec<Suspect>,
+    whole: Suspect,
+    /// All parts of the prompt, as the caller sent them.
+    prompt: Option<HeaderValue>,
+    began_at: Instant,
+    has_bytes: bool,
 }
 
 impl AttemptWatch {
-    /// Notes that bytes of the answer have arrived.
-    pub fn answered(&mut self) {
-        if std::mem::replace(&mut self.answered, true) || self.parts.is_empty() {
-            return;
-        }
-        let suspects = self.watch.suspects.borrow();
-        let key = |part: &PromptPart| PartKey { pool: self.pool.clone(), part: part.clone() };
-        if !suspects.iter().any(|it| it.pool == self.pool) {
-            return;
+    /// Notes that bytes of the answer have arrived: its parts crash nothing.
+    pub fn note_bytes(&mut self) {
+        if !std::mem::replace(&mut self.has_bytes, true) {
+            self.watch.report_answer(&self.pool, &self.parts);
         }
-        // The first part is reported in any case, to show that the pool answers.
-        let cleared = self.parts.iter().enumerate().map(|(i, part)| (i, key(part)));
-        let cleared = cleared.filter(|(i, it)| *i == 0 || suspects.contains(it));
-        self.watch.inbox.offer(Event::PartsAnswered(cleared.map(|(_, it)| it).collect()));
+    }
+
+    /// Notes that the answer is complete.
+    pub fn close(mut self) {
+        self.note_bytes();
+        self.watch.end_trial(&self.pool, &self.whole);
+        self.watch.report_answer(&self.pool, &[self.whole]);
     }
 
     /// Reports the attempt if its endpoint has crashed under it: its connection ended
-    /// before a byte of the answer, and no other can be made. `began` says whether the
-    /// head of the answer had arrived.
+    /// before the whole answer, and no other can be made. `began` says whether the head of
+    /// the answer had arrived.
     pub fn broke_off(self, began: bool) {
-        if self.answered {
-            return;
-        }
+        let at = Instant::now();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(CHECK_DELAY).await;
-            if !is_refused(&self.endpoint).await {
+            let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(self.endpoint.addr)).await;
+            if !connected.is_ok_and(|it| is_refusal(&it)) {
                 return;
             }
+            let ran = Millis(at.duration_since(self.began_at).as_millis() as u64);
             log::info!(
                 request = self.request.as_str(), endpoint = self.endpoint.name.as_str(),
                 generation:% = self.endpoint.generation, pool:% = self.pool, began = began,
-                parts = join_parts(&self.parts), digest:% = self.digest;
+                ran_ms = ran.0, bytes = self.has_bytes, parts = join_parts(&self.parts),
+                digest:% = self.whole;
                 "[relay] an endpoint crashed under a request"
             );
-            if self.parts.is_empty() {
-                return;
-            }
-            self.watch.inbox.offer(Event::EndpointCrashed(CrashReport {
+            let prompt = self.prompt.as_ref().map_or(&[][..], HeaderValue::as_bytes);
+            let source = RequestDigest::of_fields(&[self.whole.to_string().as_bytes(), prompt]);
+            let parts = if self.has_bytes { Vec::new() } else { self.parts };
+            let report = CrashReport {
                 endpoint: self.endpoint.name,
                 generation: self.endpoint.generation,
                 pool: self.pool,
-                parts: self.parts,
+                suspects: parts.into_iter().chain([self.whole]).collect(),
+                source: Some(Suspect::Request(source)),
                 began,
-            }));
+                ran,
+                age: Millis(0),
+            };
+            self.watch.inbox.offer(Event::EndpointCrashed { report, at });
         });
     }
 }
-
-async fn is_refused(endpoint: &Endpoint) -> bool {
-    let refused = |err: &std::io::Error| err.kind() == ErrorKind::ConnectionRefused;
-    let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(endpoint.addr)).await;
-    matches!(connected, Ok(Err(err)) if refused(&err))
-}
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -16,11 +16,10 @@
         upstream::{Lease, SendError},
     },
     coord::{
-        claims::RequestDigest,
         ids::{EndpointName, Rate},
         limits::MIN_LIMIT,
         relay::{AttemptOutcome, Attempts, NextAction, Preferences},
-        tables::Endpoint,
+        tables::{Endpoint, Suspect},
         time::Millis,
     },
     hyper::{
@@ -43,6 +42,10 @@
 /// of a few requests.
 const RETRY_AFTER: Millis = Millis(300);
 
+/// `Retry-After` of requests on trial at another instance: about the time until the
+/// outcome is known.
+const RETRY_AFTER_TRIAL: Millis = Millis(1000);
+
 /// Spread of the requests that wait for an endpoint's pause to end: about a time of
 /// a request.
 const RETURN_SPREAD: Millis = Millis(300);
@@ -74,8 +77,8 @@
     pub relay: Rc<Relay>,
     pub request: RelayRequest,
     pub body: Bytes,
-    /// The digest of caller, path and body.
-    pub digest: RequestDigest,
+    /// The request itself, as a suspect.
+    pub whole: Suspect,
     pub results: StageResults,
     pub record: RequestRecord,
 }
@@ -87,12 +90,17 @@
         let mut tried: Vec<EndpointName> = Vec::new();
         self.relay.earn_retry(&self.request.pool);
         loop {
-            if self.relay.view().is_withheld(&self.request.pool, &self.request.parts) {
+            let suspects = self.request.parts.iter().chain([&self.whole]);
+            if self.relay.view().is_withheld(&self.request.pool, suspects) {
                 return match attempts.may_have_run() {
                     true => self.deny(Denial::Unknown),
                     false => self.deny_withheld(),
                 };
             }
+            let (pool, whole) = (&self.request.pool, &self.whole);
+            if attempts.may_have_run() && self.relay.crashes.is_suspect(pool, whole) {
+                return self.deny(Denial::Unknown);
+            }
             let Some(endpoint) = self.choose(&tried) else {
                 let unknown = attempts.give_up(AttemptOutcome::NotSent) == NextAction::Fail;
                 match self.pause_left(&tried) {
@@ -104,6 +112,11 @@
                 }
                 continue;
             };
+            let (pool, whole) = (&self.request.pool, &self.whole);
+            let (now, view) = (self.relay.now(), self.relay.view());
+            if !self.relay.crashes.may_send(now, &view.tables, pool, whole) {
+                return self.deny_on_trial();
+            }
             tried.push(endpoint.name.clone());
             attempts.record_send();
             let in_flight = self.relay.begin_attempt(&endpoint.name);
@@ -111,6 +124,7 @@
             let (outcome, failure) = match reply {
                 Reply::Withheld => {
                     attempts.forget_send();
+                    self.relay.crashes.end_trial(&self.request.pool, &self.whole);
                     continue;
                 }
                 Reply::Stream(response, check, lease, watch) => {
@@ -143,7 +157,7 @@
                     log::info!(
                         request = self.request.id.as_str(), endpoint = endpoint.name.as_str(),
                         sent = !err.is_unsent(), parts = join_parts(&self.request.parts),
-                        digest:% = self.digest,
+                        digest:% = self.whole,
                         error:% = err;
                         "[relay] attempt lost"
                     );
@@ -152,6 +166,9 @@
             };
             drop(in_flight);
             self.record_failure(&endpoint, outcome);
+            if matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::NotRun) {
+                self.relay.crashes.end_trial(&self.request.pool, &self.whole);
+            }
             let mut next = attempts.record_outcome(outcome);
             let counted = outcome != AttemptOutcome::NotSent;
             if next == NextAction::Retry && counted && !self.relay.spend_retry(&self.request.pool) {
@@ -258,7 +275,7 @@
             self.body.clone(),
         );
         let deadline = self.request.deadline.into();
-        let mut watch = self.relay.crashes.attempt(&self.request, self.digest, endpoint);
+        let watch = self.relay.crashes.attempt(&self.request, &self.whole, endpoint);
         let began = Instant::now();
         let sent = timeout_at(deadline, self.relay.upstream.send(endpoint, outgoing)).await;
         let (response, lease) = match sent {
@@ -292,7 +309,7 @@
                 Reply::Improper("the body can't be read whole")
             }
             Ok(Ok(body)) => {
-                watch.answered();
+                watch.close();
                 check.push(&body);
                 if check.check_end().is_err() {
                     return Reply::Improper("the events of the body ended early");
@@ -369,6 +386,11 @@
         deny(Denial::Limited, Some(wait))
     }
 
+    fn deny_on_trial(mut self) -> RelayResponse {
+        self.record.finish(Denial::Withheld.name());
+        deny(Denial::Withheld, Some(RETRY_AFTER_TRIAL))
+    }
+
     fn deny_until(mut self, time: Duration) -> RelayResponse {
         self.record.finish(Denial::Paused.name());
         deny(Denial::Paused, Some(to_millis(time)))
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -12,7 +12,7 @@
         upstream::configure_socket,
     },
     crate::{accept::accept, chunk_support::ChunkSupport},
-    coord::time::Millis,
+    coord::{tables::Suspect, time::Millis},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
         Request, Response, StatusCode,
@@ -127,8 +127,8 @@
 /// Minimum size of the server's read buffer.
 const MIN_BUFFER_BYTES: usize = 16 << 10;
 
-/// `Retry-After` of requests with a withheld part: longer than callers wait, since it is
-/// withheld for minutes.
+/// `Retry-After` of withheld requests: longer than callers wait, since they are withheld
+/// for minutes.
 pub const RETRY_AFTER_WITHHELD: Millis = Millis(60_000);
 
 async fn handle(relay: Rc<Relay>, request: Request<Incoming>) -> Result<RelayResponse, Infallible> {
@@ -172,9 +172,9 @@
     };
     let mut record = RequestRecord::new(&request, version, relay.series.clone(), guard);
     let mut response = match prepare(relay, &request, body).await {
-        Ok((body, results)) => {
-            let (relay, digest) = (relay.clone(), request.digest(&body));
-            return Forward { relay, request, body, digest, results, record }.run().await;
+        Ok((body, whole, results)) => {
+            let relay = relay.clone();
+            return Forward { relay, request, body, whole, results, record }.run().await;
         }
         Err((denial, after)) => {
             record.finish(denial.name());
@@ -190,7 +190,7 @@
     relay: &Rc<Relay>,
     request: &RelayRequest,
     body: Incoming,
-) -> Result<(Bytes, StageResults), (Denial, Option<Millis>)> {
+) -> Result<(Bytes, Suspect, StageResults), (Denial, Option<Millis>)> {
     let limit = relay.view().catalog().limits.max_body.0 as usize;
     let deadline = request.deadline.into();
     let body = match timeout_at(deadline, Limited::new(body, limit).collect()).await {
@@ -199,12 +199,16 @@
         Ok(Err(_)) => return Err((Denial::Malformed, None)),
         Err(_) => return Err((Denial::TooLate, None)),
     };
+    let whole = Suspect::Request(request.digest(&body));
+    if relay.view().is_withheld(&request.pool, [&whole]) {
+        return Err((Denial::Withheld, Some(RETRY_AFTER_WITHHELD)));
+    }
     let mut results = stages::run(relay, request, body.len()).await;
     if matches!(results, Err(PieceError::Gone)) {
         results = stages::run(relay, request, body.len()).await;
     }
     match results {
-        Ok(it) => Ok((body, it)),
+        Ok(it) => Ok((body, whole, it)),
         Err(PieceError::Late) => Err((Denial::TooLate, Some(RETRY_AFTER_STAGES))),
         Err(_) => Err((Denial::NoEndpoint, Some(RETRY_AFTER_STAGES))),
     }
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -3,7 +3,7 @@
 use {
     super::{drain_state::RequestGuard, framing::Framing, request::RelayRequest},
     crate::telemetry::SeriesBound,
-    coord::ids::PromptPart,
+    coord::tables::Suspect,
     metrics::{counter, histogram},
     std::{cell::RefCell, fmt::Display, rc::Rc, time::Instant},
 };
@@ -144,8 +144,8 @@
 }
 
 /// Joins the ids of prompt parts for a log line.
-pub fn join_parts(parts: &[PromptPart]) -> String {
-    parts.iter().map(PromptPart::as_str).collect::<Vec<_>>().join(",")
+pub fn join_parts(parts: &[Suspect]) -> String {
+    parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
 }
 
 impl Drop for RequestRecord {
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -13,10 +13,9 @@
         limits::SharedGate,
         relay::{Placer, QueueWaits, Shard},
         router::{Estimator, RetryBudget},
-        tables::{PartKey, Tables},
+        tables::{Suspects, Tables},
         time::{Millis, Time},
     },
-    indexmap::IndexSet,
     std::{
         cell::RefCell,
         collections::HashMap,
@@ -50,8 +49,8 @@
     pub drain: Arc<DrainState>,
     /// The core loop's queue.
     pub inbox: Inbox,
-    /// The parts of prompts under which endpoints have crashed.
-    pub suspects: watch::Receiver<Arc<IndexSet<PartKey>>>,
+    /// What endpoints have crashed under.
+    pub suspects: watch::Receiver<Arc<Suspects>>,
     /// The gate that sends to limited endpoints pass.
     pub gate: SharedGate,
     /// The origin of the times that the gate is given.
@@ -125,7 +124,7 @@
             ),
             notices,
             buffers,
-            crashes: CrashWatch::new(inbox, suspects),
+            crashes: CrashWatch::new(inbox, suspects, peer),
             dialect: settings.dialect,
             drain,
             upstream,
@@ -245,7 +244,7 @@
                 "[relay] catalog in force"
             );
         }
-        log_withheld_parts(&old.tables, &tables);
+        log_withheld(&old.tables, &tables);
         let view = Rc::new(View::new(tables));
         *self.view.borrow_mut() = view.clone();
         let known = |it: &EndpointName| view.tables.endpoints.contains_key(it);
@@ -266,12 +265,13 @@
     }
 }
 
-/// Logs the parts of prompts that are withheld or released from now on.
-fn log_withheld_parts(old: &Tables, new: &Tables) {
-    for it in new.withheld_parts.difference(&old.withheld_parts) {
-        log::warn!(pool:% = it.pool, part:% = it.part; "[relay] part of prompts withheld");
+/// Logs what is withheld or released from now on: a part of prompts, or the digest of a
+/// request.
+fn log_withheld(old: &Tables, new: &Tables) {
+    for it in new.withheld.difference(&old.withheld) {
+        log::warn!(pool:% = it.pool, suspect:% = it.suspect; "[relay] requests withheld");
     }
-    for it in old.withheld_parts.difference(&new.withheld_parts) {
-        log::info!(pool:% = it.pool, part:% = it.part; "[relay] part of prompts released");
+    for it in old.withheld.difference(&new.withheld) {
+        log::info!(pool:% = it.pool, suspect:% = it.suspect; "[relay] requests released");
     }
 }
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -10,9 +10,9 @@
     coord::{
         catalog::{ApiKey, RelayRoute},
         claims::RequestDigest,
-        ids::{DomainName, PoolName, PromptPart, TeamName},
+        ids::{DomainName, PoolName, TeamName},
         relay::preferred_domain,
-        tables::Endpoint,
+        tables::{Endpoint, Suspect},
         time::Millis,
     },
     http_body_util::Full,
@@ -47,12 +47,15 @@
     pub target: Instant,
     /// When the caller must have its final response.
     pub deadline: Instant,
-    /// The parts of the prompt that other requests may share: all but the last.
-    pub parts: Vec<PromptPart>,
+    /// What endpoints may crash under: the parts of the prompt that other requests may
+    /// share, all but the last.
+    pub parts: Vec<Suspect>,
     /// Key shared by requests that have a cached prompt prefix in common.
     pub affinity: Option<Vec<u8>>,
     /// The preferred failure domain of its stages and then of the request.
     pub preferred_domain: Option<DomainName>,
+    /// All parts of the prompt, as the caller sent them.
+    pub prompt: Option<HeaderValue>,
     /// The number of pieces of each stage.
     pub piece_counts: Vec<u32>,
     /// The caller's source, the input of stages that follow no other.
@@ -103,6 +106,7 @@
             parts,
             affinity,
             preferred_domain,
+            prompt: head.headers.get(&names.parts).cloned(),
             piece_counts,
             source: header_text(&head, &names.source).unwrap_or_default().to_owned(),
             route,
@@ -220,13 +224,14 @@
 
 /// Returns the ids of the prompt's parts without the last. Only the first
 /// [`MAX_PARTS`] are looked at, and ids that can't be read are left out.
-fn shared_parts(head: &Parts, names: &HeaderNames) -> Vec<PromptPart> {
+fn shared_parts(head: &Parts, names: &HeaderNames) -> Vec<Suspect> {
     let list = header_text(head, &names.parts).unwrap_or_default();
     let Some((shared, _)) = list.rsplit_once(',') else {
         return Vec::new();
     };
     let ids = shared.split(',').take(MAX_PARTS).map(|it| it.split(':').next().unwrap_or(it));
-    ids.filter_map(|it| it.trim().parse().ok()).collect()
+    let parts = ids.filter_map(|it| it.trim().parse().ok());
+    parts.map(Suspect::Part).collect()
 }
 
 /// Returns the list of prompt parts without the last, which is specific to the
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -38,7 +38,7 @@
     Paused,
     /// Every endpoint that could be sent to takes no more requests for now.
     Limited,
-    /// A part of the prompt crashes endpoints and is withheld from them.
+    /// The request, or a part of its prompt, crashes endpoints and is withheld from them.
     Withheld,
     /// The body did not arrive, or the stages can't finish, before the deadline.
     TooLate,
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -49,7 +49,7 @@
 
     fn add_data(&mut self, data: &Bytes) {
         if let Some(it) = self.watch.as_mut().filter(|_| !data.is_empty()) {
-            it.answered();
+            it.note_bytes();
         }
         self.check.push(data);
         self.record.add_bytes(data.len());
@@ -71,6 +71,9 @@
         if let Some(lease) = self.lease.take() {
             lease.release();
         }
+        if let Some(watch) = self.watch.take() {
+            watch.close();
+        }
         self.record.finish("whole");
     }
 
--- a/crates/daemon/src/relay/view.rs
+++ b/crates/daemon/src/relay/view.rs
@@ -3,9 +3,9 @@
 use {
     coord::{
         catalog::{ApiKey, Catalog, RouteIndex},
-        ids::{PoolName, PromptPart, TeamName},
+        ids::{PoolName, TeamName},
         relay::{Shard, batcher_candidates, entry_addrs, is_split, shards},
-        tables::{Endpoint, PartKey, Tables},
+        tables::{Endpoint, Suspect, SuspectKey, Tables},
     },
     indexmap::IndexMap,
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc},
@@ -70,13 +70,15 @@
         self.keys.get(key)
     }
 
-    /// Whether a part of prompts is withheld from a pool.
-    pub fn is_withheld(&self, pool: &PoolName, parts: &[PromptPart]) -> bool {
-        let withheld = &self.tables.withheld_parts;
-        !withheld.is_empty() && {
-            let key = |part: &PromptPart| PartKey { pool: pool.clone(), part: part.clone() };
-            parts.iter().any(|it| withheld.contains(&key(it)))
-        }
+    /// Whether requests to a pool with one of these properties are withheld.
+    pub fn is_withheld<'a>(
+        &self,
+        pool: &PoolName,
+        suspects: impl IntoIterator<Item = &'a Suspect>,
+    ) -> bool {
+        let withheld = &self.tables.withheld;
+        let key = |suspect: &Suspect| SuspectKey { pool: pool.clone(), suspect: suspect.clone() };
+        !withheld.is_empty() && suspects.into_iter().any(|it| withheld.contains(&key(it)))
     }
 
     /// Returns the endpoints of a pool that accept new work.
