Tell requests at the same crashes apart before one is withheld

A request is now withheld only if no other was at all its crashes, whether these count against the other or not. The test for whether a request explains all crashes is made for the suspects that are kept only: up to 32, not 4,096. A gate without limits compares nothing when it applies a reply.

--- a/crates/coord/src/control/crash_evidence.rs
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -27,8 +27,13 @@
 /// The number of endpoints that crashed one after the other under a request before it is
 /// withheld.
 const MIN_REQUEST_CRASHES: usize = 3;
+/// The least time from the first to the last of them. In less, the retries of one request
+/// may meet endpoints that crash for other reasons.
+const MIN_REQUEST_SPAN: Millis = Millis(100);
 /// With as many, a request is on trial.
 const TRIAL_CRASHES: usize = 2;
+/// How long after the last crash under it a request is on trial.
+const TRIAL_LIFETIME: Millis = Millis(30_000);
 /// With as many, a request is withheld although another was at all the same crashes.
 const MIN_TIED_CRASHES: usize = 5;
 /// By how much a request may seem to have been sent before an earlier crash and still
@@ -129,6 +134,9 @@
 struct Suspicion {
     /// The crashes that count, by time.
     crashes: Vec<Time>,
+    /// The positions of the crashes that count, and of all that a request was at.
+    counted: Vec<usize>,
+    present: Vec<usize>,
     /// The greatest position among the suspects of a request. Later ones are shared by
     /// fewer requests.
     position: usize,
@@ -215,11 +223,14 @@
         self.suspicions.keys().cloned().collect()
     }
 
-    /// Returns the requests that may be sent by one instance at a time only, since another
-    /// crash would decide.
+    /// Returns the requests that only one instance may send, one at a time, since another
+    /// crash would decide. A trial ends with time, as that instance may be gone.
     pub fn trials(&self) -> Vec<SuspectKey> {
+        let is_recent = |at: &Time| self.refreshed_at.since(*at) < TRIAL_LIFETIME;
         let is_trial = |(key, it): &(&SuspectKey, &Suspicion)| {
-            key.suspect.is_request() && it.crashes.len() >= TRIAL_CRASHES
+            key.suspect.is_request()
+                && it.crashes.len() >= TRIAL_CRASHES
+                && it.crashes.last().is_some_and(is_recent)
         };
         self.suspicions.iter().filter(is_trial).map(|(key, _)| key.clone()).collect()
     }
@@ -246,19 +257,22 @@
         };
         let is_settled = now.since(*decisive) >= SETTLE_TIME;
         let answers = self.pool_answered.get(&key.pool).is_some_and(|at| *at > it.crashes[0]);
+        let span = it.crashes.last().map_or(Millis(0), |last| last.since(it.crashes[0]));
         match is_request {
-            true => is_settled && (answers || it.explains_all) && !self.is_tied(key, it),
+            true if span < MIN_REQUEST_SPAN || self.is_tied(key, it) => false,
+            true => is_settled && (answers || it.explains_all),
             false => is_settled && answers && it.is_shared,
         }
     }
 
-    /// Whether another request was at as many crashes, so that the next has to tell.
+    /// Whether another request was at all the crashes that count, so that the next has to
+    /// tell.
     fn is_tied(&self, key: &SuspectKey, suspicion: &Suspicion) -> bool {
-        let count = suspicion.crashes.len();
         let mut others = self.suspicions.iter().filter(|(other, _)| {
             other.pool == key.pool && other.suspect.is_request() && *other != key
         });
-        count < MIN_TIED_CRASHES && others.any(|(_, it)| it.crashes.len() >= count)
+        let explains = |it: &Suspicion| suspicion.counted.iter().all(|at| it.present.contains(at));
+        suspicion.crashes.len() < MIN_TIED_CRASHES && others.any(|(_, it)| explains(it))
     }
 
     /// Drops what no longer counts, and works out the suspects. `withheld` is what is
@@ -269,6 +283,7 @@
         if is_idle || now.since(self.refreshed_at) < gap {
             return;
         }
+        let trials = self.trials();
         self.refreshed_at = now;
         self.has_news = false;
         while self.crashes.front().is_some_and(|it| now.since(it.at) > CRASH_WINDOW) {
@@ -277,7 +292,6 @@
         self.answered.retain(|_, at| now.since(*at) <= CRASH_WINDOW);
         self.pool_answered.retain(|_, at| now.since(*at) <= CRASH_WINDOW);
         let found = self.find_suspicions(withheld);
-        let trials = self.trials();
         let known = std::mem::replace(&mut self.suspicions, found);
         let is_same = known.len() == self.suspicions.len()
             && known.keys().all(|it| self.suspicions.contains_key(it))
@@ -287,33 +301,38 @@
 
     fn find_suspicions(&self, withheld: &IndexSet<SuspectKey>) -> IndexMap<SuspectKey, Suspicion> {
         let mut rows: IndexMap<SuspectKey, Suspicion> = IndexMap::new();
-        for crash in &self.crashes {
+        for (position, crash) in self.crashes.iter().enumerate() {
             let known: Vec<&Suspect> = withheld
                 .iter()
                 .filter(|it| it.pool == crash.pool && crash.contains(&it.suspect))
                 .map(|it| &it.suspect)
                 .collect();
             if known.is_empty() {
-                self.add_requests(&mut rows, crash);
+                self.add_requests(&mut rows, position, crash);
             }
             if !known.iter().any(|it| !it.is_request()) {
                 self.add_parts(&mut rows, crash, &known);
             }
         }
+        rows.sort_by(|_, a, _, b| b.crashes.len().cmp(&a.crashes.len()));
+        rows.truncate(MAX_SUSPECTS);
         for (key, row) in rows.iter_mut().filter(|(key, _)| key.suspect.is_request()) {
             let mut later =
                 self.crashes.iter().filter(|it| it.pool == key.pool && it.at >= row.crashes[0]);
             row.explains_all = later.all(|it| it.contains(&key.suspect));
         }
-        rows.sort_by(|_, a, _, b| b.crashes.len().cmp(&a.crashes.len()));
-        rows.truncate(MAX_SUSPECTS);
         rows
     }
 
     /// Counts a crash against the requests that were sent to the endpoint after the last
     /// crash that counts against them. What fails at the same moment as others thus counts
     /// once, and each retry of a request by itself.
-    fn add_requests(&self, rows: &mut IndexMap<SuspectKey, Suspicion>, crash: &Crash) {
+    fn add_requests(
+        &self,
+        rows: &mut IndexMap<SuspectKey, Suspicion>,
+        position: usize,
+        crash: &Crash,
+    ) {
         for (lost, suspect) in crash.requests.iter().filter_map(|it| Some((it, it.request()?))) {
             let key = SuspectKey { pool: crash.pool.clone(), suspect: suspect.clone() };
             if self.is_cleared(&key, crash) {
@@ -321,9 +340,13 @@
             }
             let row = rows.entry(key).or_default();
             row.position = lost.suspects.len();
+            if row.present.last() != Some(&position) {
+                row.present.push(position);
+            }
             let last = row.crashes.last();
             if last.is_none_or(|it| crash.at > *it && lost.sent + ORDER_TOLERANCE >= *it) {
                 row.crashes.push(crash.at);
+                row.counted.push(position);
             }
         }
     }
--- a/crates/coord/src/limits/limit_gate.rs
+++ b/crates/coord/src/limits/limit_gate.rs
@@ -11,7 +11,7 @@
         tables::Endpoint,
         time::{Millis, Time},
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
 };
 
 /// How long a grant is valid. Together with the credit that the leader saves up, it keeps
@@ -208,8 +208,9 @@
         seq: u64,
         reply: LimitReply,
     ) -> Vec<(EndpointName, LimitChange)> {
-        let names: Vec<EndpointName> = self.generations.keys().cloned().collect();
-        let before: Vec<Option<Rate>> = names.iter().map(|it| self.limit(it)).collect();
+        let limit = |name: &EndpointName| self.limit(name);
+        let before: IndexMap<EndpointName, Option<Rate>> =
+            self.rows.keys().map(|it| (it.clone(), limit(it))).collect();
         let accounted = match reply.list {
             LimitListUpdate::Unknown => false,
             LimitListUpdate::Same => true,
@@ -230,13 +231,13 @@
             reply.sends.iter().for_each(|it| self.add_grant(it, expires));
         }
         self.rows.retain(|_, row| row.seen.is_some() || row.listed.is_some());
-        let after = names.iter().map(|it| self.limit(it));
-        let changes: Vec<LimitChange> = before
-            .into_iter()
-            .zip(after)
-            .map(|(before, limit)| LimitChange { before, limit })
-            .collect();
-        names.into_iter().zip(changes).filter(|(_, it)| it.before != it.limit).collect()
+        let names: IndexSet<&EndpointName> = before.keys().chain(self.rows.keys()).collect();
+        let change = |name: &EndpointName| LimitChange {
+            before: before.get(name).copied().flatten(),
+            limit: self.limit(name),
+        };
+        let changes = names.into_iter().map(|it| (it.clone(), change(it)));
+        changes.filter(|(_, it)| it.before != it.limit).collect()
     }
 
     fn set_list(&mut self, now: Time, list: LimitList) {
