--- a/crates/harness/tests/limits.rs
+++ b/crates/harness/tests/limits.rs
@@ -27,6 +27,8 @@
 const SIGCONT: i32 = 18;
 const VOTERS: usize = 3;
 const INSTANCES: usize = 8;
+/// Sets another number of instances, for runs by hand.
+const INSTANCES_VARIABLE: &str = "MANGOBEND_LIMIT_INSTANCES";
 const ENDPOINTS: usize = 4;
 /// From this long after an endpoint first names its limit, no more arrive in any window of
 /// `WINDOW` than `FACTOR` times what the limit allows and `SLACK`.
@@ -55,6 +57,11 @@
     response: RawResponse,
 }
 
+fn instance_count() -> usize {
+    let set = std::env::var(INSTANCES_VARIABLE).ok();
+    set.map_or(INSTANCES, |it| it.parse().expect("a number of instances"))
+}
+
 /// Returns endpoints of a pool that are running.
 fn endpoints(pool: &str, count: usize) -> Vec<(Endpoint, LimitedEndpoint)> {
     let start = |number: usize| {
@@ -68,7 +75,7 @@
     fn start(catalog: &Catalog, endpoints: Vec<(Endpoint, LimitedEndpoint)>) -> Self {
         let spec = ClusterSpec {
             args: ["--relay-listen", "127.0.0.1:0"].map(ToOwned::to_owned).to_vec(),
-            ..ClusterSpec::new(VOTERS, INSTANCES - VOTERS)
+            ..ClusterSpec::new(VOTERS, instance_count() - VOTERS)
         };
         let cluster = spec.start();
         let posted = cluster.operator().post::<serde_json::Value>("/v1/catalog", catalog);
@@ -205,7 +212,7 @@
     run_beside(&mut system, |cluster| {
         thread::sleep(Duration::from_secs(4));
         let leader = cluster.leader();
-        let others: Vec<usize> = (0..INSTANCES).filter(|it| *it != leader).collect();
+        let others: Vec<usize> = (0..instance_count()).filter(|it| *it != leader).collect();
         cluster.set_fault(others[0], Fault { drop_in: true, drop_out: true, ..Fault::default() });
         cluster.daemon(others[1]).proc.signal(SIGSTOP);
         thread::sleep(Duration::from_secs(2));
