--- a/crates/harness/tests/crashing/mod.rs
+++ b/crates/harness/tests/crashing/mod.rs
@@ -30,6 +30,8 @@
     /// The instances that callers and endpoints use.
     pub instances: Vec<usize>,
     pub endpoints: Vec<CrashingEndpoint>,
+    /// The number of endpoints that run whole requests; the others run stages.
+    count: usize,
 }
 
 /// A response to a caller, and when its request was sent.
@@ -48,16 +50,28 @@
     /// Starts a system with `count` endpoints, and waits until each instance serves the
     /// request `warm`.
     pub fn start(count: usize, spec: &CrashSpec, route: RelayRoute, warm: &str) -> Self {
+        Self::start_with_stage(count, 0, spec, route, warm)
+    }
+
+    /// As [`Self::start`], with `stages` more endpoints that run the route's stage.
+    pub fn start_with_stage(
+        count: usize,
+        stages: usize,
+        spec: &CrashSpec,
+        route: RelayRoute,
+        warm: &str,
+    ) -> Self {
         let cluster = ClusterSpec {
             args: ["--relay-listen", "127.0.0.1:0"].map(ToOwned::to_owned).to_vec(),
             ..ClusterSpec::new(VOTERS, INSTANCES - VOTERS)
         };
         let cluster = cluster.start();
-        let endpoints = (0..count).map(|_| CrashingEndpoint::start(spec.clone())).collect();
+        let start = |_| CrashingEndpoint::start(spec.clone());
+        let endpoints = (0..count + stages).map(start).collect();
         let posted =
             cluster.operator().post::<serde_json::Value>("/v1/catalog", &relay_catalog(route));
         posted.expect("the catalog is accepted");
-        let system = Self { cluster, endpoints, instances: (0..INSTANCES).collect() };
+        let system = Self { cluster, endpoints, count, instances: (0..INSTANCES).collect() };
         system.announce();
         wait_until("each instance serves", LONG_TIMEOUT, || {
             (0..INSTANCES).all(|it| system.call(it, warm).is_served())
@@ -69,7 +83,8 @@
     pub fn announce(&self) {
         for (number, it) in self.endpoints.iter().enumerate().filter(|(_, it)| it.is_up()) {
             let generation = Generation(1 + it.crashes().len() as u64);
-            let endpoint = relay_endpoint(&format!("e{number}"), "app", it.addr);
+            let pool = if number < self.count { "app" } else { "stage" };
+            let endpoint = relay_endpoint(&format!("e{number}"), pool, it.addr);
             let daemon = self.cluster.daemon(self.instances[number % self.instances.len()]);
             daemon.announce(&Endpoint { generation, ..endpoint });
         }
--- a/crates/harness/tests/crashing_requests.rs
+++ b/crates/harness/tests/crashing_requests.rs
@@ -5,8 +5,8 @@
 
 use {
     coord::{
-        catalog::RetryPolicy,
-        ids::Class,
+        catalog::{RelayStage, RetryPolicy},
+        ids::{Bytes, Class},
         tables::{Edit, Pool, PoolKind, Route, Stage},
         time::Millis,
         wire::CallerRequest,
@@ -173,6 +173,28 @@
     assert!(after.iter().all(|(_, served)| *served), "sound requests of the same route");
 }
 
+#[test]
+fn a_request_whose_pieces_crash_the_endpoints_of_a_stage_is_kept_from_them() {
+    let mut route = relay_route(RetryPolicy::Idempotent);
+    route.stages = vec![RelayStage {
+        pool: "stage".parse().expect("a name"),
+        after: Vec::new(),
+        result_size: Bytes(1000),
+    }];
+    let request = |id: String, source: &str| {
+        relay_request(&id, &format!("mangobend-source: {source}\r\n"), source)
+    };
+    let sound = |it: usize| request(format!("sound-{it}"), &format!("order-{it}"));
+    let system = System::start_with_stage(2, 3, &spec(AnswerForm::Plain), route, &sound(0));
+
+    let outcomes = run_beside(&system, Duration::from_secs(16), sound, |stop| {
+        let poison = |it: usize| request(format!("poison-{it}"), POISON);
+        system.send(poison, POISON_INTERVAL, stop);
+    });
+
+    check_kept(&system, &outcomes);
+}
+
 #[test]
 fn endpoints_that_crash_without_a_common_request_keep_none_from_being_served() {
     let system = start_plain(6, RetryPolicy::Idempotent);
--- a/crates/standin/src/crashing.rs
+++ b/crates/standin/src/crashing.rs
@@ -1,7 +1,7 @@
 //! An endpoint that crashes when it runs certain requests, and comes back some time later.
 
 use {
-    crate::{ReceivedRequest, header, signed_response},
+    crate::{ReceivedRequest, framed_answer::piece_results, header, signed_response},
     coord::{
         ids::Tokens,
         wire::{RunLine, RunRequest},
@@ -158,7 +158,10 @@
             let answer = match streams {
                 true => stream_body(),
                 false if request.head.starts_with("POST /run ") => run_answer(&request),
-                false => signed_response(&request, "200 OK", "content-length: 4\r\n", "fine"),
+                false if request.head.starts_with("POST /v1/pieces ") => {
+                    plain_answer(&request, &piece_results(&request))
+                }
+                false => plain_answer(&request, "fine"),
             };
             if stream.write_all(&answer).is_err() {
                 return;
@@ -212,7 +215,11 @@
     let done = RunLine::Done { ident, pieces: 1, tokens: Tokens(1) };
     let line = |it| serde_json::to_string(&it).expect("a line serializes to JSON") + "\n";
     let body = line(piece) + &line(done);
-    signed_response(request, "200 OK", &format!("content-length: {}\r\n", body.len()), &body)
+    plain_answer(request, &body)
+}
+
+fn plain_answer(request: &ReceivedRequest, body: &str) -> Vec<u8> {
+    signed_response(request, "200 OK", &format!("content-length: {}\r\n", body.len()), body)
 }
 
 /// Reads the next request of a connection.
--- a/crates/standin/src/framed_answer.rs
+++ b/crates/standin/src/framed_answer.rs
@@ -74,3 +74,10 @@
     );
     (head + body).into_bytes()
 }
+
+/// The body of an answer to a call of pieces: one result each.
+pub fn piece_results(seen: &ReceivedRequest) -> String {
+    let pieces = String::from_utf8_lossy(&seen.body).matches("\"number\":").count();
+    let handles: Vec<String> = (0..pieces).map(|it| format!("{{\"Ok\":\"h{it}\"}}")).collect();
+    format!("{{\"results\":[{}]}}", handles.join(","))
+}
--- a/crates/standin/src/limited.rs
+++ b/crates/standin/src/limited.rs
@@ -1,7 +1,10 @@
 //! An endpoint that names in its answers how many requests a second it takes.
 
 use {
-    crate::{ReceivedRequest, Script, ScriptedEndpoint, Step, signed_response},
+    crate::{
+        ReceivedRequest, Script, ScriptedEndpoint, Step, framed_answer::piece_results,
+        signed_response,
+    },
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -49,16 +52,9 @@
 fn answer(seen: &ReceivedRequest, limit: Option<String>) -> Vec<u8> {
     let limit = limit.map_or_else(String::new, |it| format!("mangobend-limit: {it}\r\n"));
     let body = match seen.head.starts_with("POST /v1/pieces ") {
-        true => results(seen),
+        true => piece_results(seen),
         false => "fine".to_owned(),
     };
     let head = format!("{limit}content-length: {}\r\n", body.len());
     signed_response(seen, "200 OK", &head, &body)
 }
-
-/// The results of a call of pieces: one handle each.
-fn results(seen: &ReceivedRequest) -> String {
-    let pieces = String::from_utf8_lossy(&seen.body).matches("\"number\":").count();
-    let handles: Vec<String> = (0..pieces).map(|it| format!("{{\"Ok\":\"h{it}\"}}")).collect();
-    format!("{{\"results\":[{}]}}", handles.join(","))
-}
