Watch calls of stages for crashes under the requests that their pieces belong to

What callers saw: as with whole requests, all requests that need the stage fail while its endpoints are down. Cause: the watch for crashes stood in the forwarding of whole requests only. A call of pieces holds several requests; each of them is now reported or cleared with it, under the pool of the stage, and refused before its stages run once it is withheld from one of them or on trial there. Instances of earlier builds send no digest with their pieces; these aren't compared.

--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -6,6 +6,7 @@
         StageRequest, StoredResult,
         buffers::Buffers,
         clock::time_since,
+        crash_watch::{AttemptWatch, CrashWatch},
         notices::Notices,
         shard_batcher::{CallError, GRANT_CHECK_INTERVAL, QueuedPiece, ShardBatcher},
         upstream::{SendError, Upstream},
@@ -15,7 +16,7 @@
         catalog::BatchTerms,
         ids::{EndpointName, PoolName},
         relay::{BatchCall, Shard},
-        tables::Endpoint,
+        tables::{Endpoint, Suspect},
         time::Millis,
     },
     http_body_util::Full,
@@ -57,6 +58,7 @@
     upstream: Rc<Upstream>,
     notices: Rc<Notices>,
     buffers: Buffers,
+    crashes: CrashWatch,
     shards: RefCell<IndexMap<Shard, ShardBatcher>>,
     weak_self: Weak<Self>,
     next_piece: Cell<u64>,
@@ -84,6 +86,7 @@
         upstream: Rc<Upstream>,
         notices: Rc<Notices>,
         buffers: Buffers,
+        crashes: CrashWatch,
         start: Instant,
     ) -> Rc<Self> {
         Rc::new_cyclic(|weak_self| Self {
@@ -91,6 +94,7 @@
             upstream,
             notices,
             buffers,
+            crashes,
             shards: RefCell::default(),
             weak_self: weak_self.clone(),
             next_piece: Cell::new(0),
@@ -256,11 +260,19 @@
             self.with_batcher(&shard, |batcher| batcher.queue.call_duration(call.pieces.len()));
         let limit = expected.map_or(Millis(0), |it| Millis(it.0 * TIMEOUT_FACTOR)) + TIMEOUT_SLACK;
         let items: Vec<PieceItem> = pieces.iter().map(|it| it.item(began)).collect();
+        let watches = self.watch_requests(&endpoint, &pieces);
         let sent = self.send_call(&endpoint, &items);
         let answer = match timeout(Duration::from_millis(limit.0), sent).await {
             Ok(it) => it,
             Err(_) => Err(CallError::Silent),
         };
+        match &answer {
+            Ok(_) => watches.into_iter().for_each(AttemptWatch::close),
+            Err(CallError::Lost { source }) if !source.is_unsent() => {
+                watches.into_iter().for_each(|it| it.broke_off(false));
+            }
+            Err(_) => {}
+        }
         let now = time_since(self.start);
         let outcome = answer.as_ref().map_or_else(CallError::name, |_| "answered");
         let results = answer.as_ref().map_or(&[][..], Vec::as_slice);
@@ -284,6 +296,14 @@
         }
     }
 
+    /// Starts to watch a call for each request that has pieces in it.
+    fn watch_requests(&self, endpoint: &Endpoint, pieces: &[QueuedPiece]) -> Vec<AttemptWatch> {
+        let origins = pieces.iter().map(QueuedPiece::origin);
+        let requests: IndexMap<&Suspect, &str> =
+            origins.filter_map(|(id, whole)| Some((whole?, id))).collect();
+        requests.into_iter().map(|(whole, id)| self.crashes.call(id, whole, endpoint)).collect()
+    }
+
     async fn send_call(
         &self,
         endpoint: &Endpoint,
--- a/crates/daemon/src/relay/crash_watch.rs
+++ b/crates/daemon/src/relay/crash_watch.rs
@@ -75,6 +75,21 @@
         }
     }
 
+    /// Starts to watch one call of pieces for one of the requests that they belong to.
+    pub fn call(&self, request: &str, whole: &Suspect, endpoint: &Endpoint) -> AttemptWatch {
+        AttemptWatch {
+            watch: self.clone(),
+            request: request.to_owned(),
+            endpoint: endpoint.clone(),
+            pool: endpoint.pool.clone(),
+            parts: Vec::new(),
+            whole: whole.clone(),
+            prompt: None,
+            began_at: Instant::now(),
+            has_bytes: false,
+        }
+    }
+
     /// Reports that a request was answered: those of its properties that are suspected, if
     /// the pool has any suspects.
     fn report_answer(&self, pool: &PoolName, answered: &[Suspect]) {
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -44,7 +44,7 @@
 
 /// `Retry-After` of requests on trial at another instance: about the time until the
 /// outcome is known.
-const RETRY_AFTER_TRIAL: Millis = Millis(1000);
+pub const RETRY_AFTER_TRIAL: Millis = Millis(1000);
 
 /// Spread of the requests that wait for an endpoint's pause to end: about a time of
 /// a request.
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         DrainPhase, PieceError,
-        forward::Forward,
+        forward::{Forward, RETRY_AFTER_TRIAL},
         record::RequestRecord,
         relay::Relay,
         request::RelayRequest,
@@ -200,12 +200,19 @@
         Err(_) => return Err((Denial::TooLate, None)),
     };
     let whole = Suspect::Request(request.digest(&body));
-    if relay.view().is_withheld(&request.pool, [&whole]) {
+    let view = relay.view();
+    let pools = request.route.stages.iter().map(|it| &it.pool).chain([&request.pool]);
+    if pools.into_iter().any(|it| view.is_withheld(it, [&whole])) {
         return Err((Denial::Withheld, Some(RETRY_AFTER_WITHHELD)));
     }
-    let mut results = stages::run(relay, request, body.len()).await;
+    let mut stage_pools = request.route.stages.iter().map(|it| &it.pool);
+    let may_send = |it| relay.crashes.may_send(relay.now(), &view.tables, it, &whole);
+    if !stage_pools.all(may_send) {
+        return Err((Denial::Withheld, Some(RETRY_AFTER_TRIAL)));
+    }
+    let mut results = stages::run(relay, request, &whole, body.len()).await;
     if matches!(results, Err(PieceError::Gone)) {
-        results = stages::run(relay, request, body.len()).await;
+        results = stages::run(relay, request, &whole, body.len()).await;
     }
     match results {
         Ok(it) => Ok((body, whole, it)),
--- a/crates/daemon/src/relay/pieces.rs
+++ b/crates/daemon/src/relay/pieces.rs
@@ -5,6 +5,7 @@
     coord::{
         ids::{Bytes, DomainName, EndpointName},
         relay::Shard,
+        tables::Suspect,
         time::Millis,
     },
     serde::{Deserialize, Serialize},
@@ -32,6 +33,9 @@
     pub shard: Shard,
     #[serde(rename = "request")]
     pub request_id: String,
+    /// The request itself, as a suspect; earlier builds don't send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub whole: Option<Suspect>,
     /// Position of the stage in its route.
     pub stage: usize,
     pub count: u32,
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -114,17 +114,19 @@
         let notices = Rc::new(Notices::new(names, settings.leave_grace, gate, start));
         let buffers = Buffers::default();
         let upstream = Rc::new(Upstream::new(notices.clone()));
+        let crashes = CrashWatch::new(inbox, suspects, peer);
         let relay = Rc::new(Self {
             batchers: Batchers::new(
                 settings.dialect.clone(),
                 upstream.clone(),
                 notices.clone(),
                 buffers.clone(),
+                crashes.clone(),
                 start,
             ),
             notices,
             buffers,
-            crashes: CrashWatch::new(inbox, suspects, peer),
+            crashes,
             dialect: settings.dialect,
             drain,
             upstream,
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -10,7 +10,7 @@
         catalog::BatchTerms,
         ids::{Bytes, EndpointName},
         relay::{Availability, BatchCall, BatchQueue, CallOutcome, GroupId, Piece, PieceId},
-        tables::Endpoint,
+        tables::{Endpoint, Suspect},
         time::{Millis, Time},
     },
     indexmap::IndexMap,
@@ -95,6 +95,12 @@
 }
 
 impl QueuedPiece {
+    /// The id of the request that it belongs to, and the suspect that stands for it.
+    pub fn origin(&self) -> (&str, Option<&Suspect>) {
+        let request = &self.pending.request;
+        (request.request_id.as_str(), request.whole.as_ref())
+    }
+
     /// Builds the item for this piece in a call.
     pub fn item(&self, now: Time) -> PieceItem {
         let request = &self.pending.request;
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -8,6 +8,7 @@
     coord::{
         ids::Bytes,
         relay::{Shard, StagePlan, StageProgress},
+        tables::Suspect,
         time::Millis,
     },
     std::{
@@ -88,13 +89,15 @@
     }
 }
 
-/// Runs all stages of a request with a body of `size` bytes.
+/// Runs all stages of a request with a body of `size` bytes. `whole` is the suspect that
+/// stands for the request.
 ///
 /// # Errors
 /// A stage has no results, so the request can't run.
 pub async fn run(
     relay: &Rc<Relay>,
     request: &RelayRequest,
+    whole: &Suspect,
     size: usize,
 ) -> Result<StageResults, PieceError> {
     let run_time = relay.expected_run_time(&request.pool, size);
@@ -110,8 +113,9 @@
     loop {
         for stage in plan.ready(&progress) {
             progress[stage] = StageProgress::Running;
-            let job =
-                StageJob::new(relay, request, &results, stage, plan.time_after(stage) + run_time);
+            let time_after = plan.time_after(stage) + run_time;
+            let mut job = StageJob::new(relay, request, &results, stage, time_after);
+            job.stage_request.whole = Some(whole.clone());
             let relay = relay.clone();
             running.spawn_local(async move { (stage, job.run(relay).await) });
         }
@@ -207,6 +211,7 @@
             id: rand::random(),
             shard: shards.first().cloned().unwrap_or(whole),
             request_id: request.id.clone(),
+            whole: None,
             stage,
             count: request.piece_counts[stage],
             input,
--- a/crates/daemon/tests/outer_forms.rs
+++ b/crates/daemon/tests/outer_forms.rs
@@ -33,6 +33,7 @@
         id: 7,
         shard: Shard { pool: "p".parse().expect("a name"), domain: None },
         request_id: "r".to_owned(),
+        whole: None,
         stage: 1,
         count: 2,
         input: PieceInput::Results(vec![Handle("h".to_owned())]),
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -430,6 +430,7 @@
         id: 1,
         shard,
         request_id: "r".to_owned(),
+        whole: None,
         stage: 0,
         count: 1,
         input: PieceInput::Source("doc".to_owned()),
