Log which stream a request takes up, and the version of endpoints

Of the hypotheses of the streams joined from two versions none could be told from the others: no line said that a request takes a stream up, of which attempt, after which event, or which software version an endpoint has. Endpoints' announcements now carry it (heartbeats without a version name no endpoint), and 'placed' and 'An endpoint has news' log it. Nothing is decided by it yet.

--- a/crates/coord/src/ids/mod.rs
+++ b/crates/coord/src/ids/mod.rs
@@ -4,6 +4,7 @@
 mod key;
 mod name;
 mod number;
+mod software_version;
 
 pub use {
     class::{Class, ClassError},
@@ -16,4 +17,5 @@
         AttemptId, Bytes, CatalogDigest, CatalogVersion, Fence, Generation, Incarnation, Index,
         NodeId, Rate, Slots, SystemId, Term, Tokens, Version,
     },
+    software_version::{MAX_VERSION_BYTES, SoftwareVersion, SoftwareVersionError},
 };
--- a/crates/coord/src/prelude.rs
+++ b/crates/coord/src/prelude.rs
@@ -5,7 +5,8 @@
     ids::{
         AttemptId, Bytes, CatalogVersion, ChangeId, ClaimKey, Class, DomainName, EndpointName,
         Fence, Generation, Incarnation, Index, InstanceName, NodeId, PoolName, PromptPart, Rate,
-        RequestId, RouteName, Slots, StageName, SystemId, TeamName, Term, Tokens, Version,
+        RequestId, RouteName, Slots, SoftwareVersion, StageName, SystemId, TeamName, Term, Tokens,
+        Version,
     },
     tables::{Endpoint, EndpointState, Pool, PoolKind, Route, Stage, Tables, Target},
     time::{Millis, Time, WallTime},
--- a/crates/coord/src/tables/endpoint.rs
+++ b/crates/coord/src/tables/endpoint.rs
@@ -1,7 +1,7 @@
 //! Endpoints as described by their announcements.
 
 use {
-    crate::ids::{DomainName, EndpointName, Generation, PoolName, Slots},
+    crate::ids::{DomainName, EndpointName, Generation, PoolName, Slots, SoftwareVersion},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -32,6 +32,9 @@
     pub slots: Slots,
     /// Concurrent requests during a cold start.
     pub cold_slots: Slots,
+    /// `None` if the endpoint doesn't name it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
 }
 
 impl Endpoint {
--- a/crates/coord/tests/endpoint_notices.rs
+++ b/crates/coord/tests/endpoint_notices.rs
@@ -26,6 +26,7 @@
         state: EndpointState::Warm,
         slots: Slots(8),
         cold_slots: Slots(1),
+        version: None,
     }
 }
 
--- a/crates/coord/tests/endpoint_table.rs
+++ b/crates/coord/tests/endpoint_table.rs
@@ -19,6 +19,7 @@
         state,
         slots: Slots(8),
         cold_slots: Slots(2),
+        version: None,
     };
     let mut tables = Tables::default();
     tables.endpoints.insert(endpoint.name.clone(), endpoint);
--- a/crates/coord/tests/limits.rs
+++ b/crates/coord/tests/limits.rs
@@ -41,6 +41,7 @@
         state: EndpointState::Warm,
         slots: Slots(8),
         cold_slots: Slots(1),
+        version: None,
     }
 }
 
--- a/crates/coord/tests/relay.rs
+++ b/crates/coord/tests/relay.rs
@@ -45,6 +45,7 @@
         state: EndpointState::Warm,
         slots: Slots(8),
         cold_slots: Slots(1),
+        version: None,
     }
 }
 
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -37,6 +37,7 @@
         state: EndpointState::Warm,
         slots: Slots(4),
         cold_slots: Slots(1),
+        version: None,
     }
 }
 
--- a/crates/coord/tests/state.rs
+++ b/crates/coord/tests/state.rs
@@ -95,6 +95,7 @@
         state,
         slots: Slots(8),
         cold_slots: Slots(2),
+        version: None,
     }
 }
 
--- a/crates/daemon/src/core/callers.rs
+++ b/crates/daemon/src/core/callers.rs
@@ -112,7 +112,8 @@
     fn propose_endpoint(&mut self, now: Time, endpoint: Endpoint, committed: CommitNotice) {
         log::info!(
             endpoint:% = endpoint.name, generation:% = endpoint.generation,
-            state:? = endpoint.state, addr:% = endpoint.addr;
+            state:? = endpoint.state, addr:% = endpoint.addr, pool:% = endpoint.pool,
+            version = endpoint.version.as_ref().map_or("none", |it| it.as_str());
             "[endpoints] An endpoint has news."
         );
         let origin = Origin::Announcement(committed);
--- a/crates/daemon/src/relay/dialect.rs
+++ b/crates/daemon/src/relay/dialect.rs
@@ -38,6 +38,11 @@
     pub source: HeaderName,
     /// Comma-separated handles of the results that the request needs.
     pub inputs: HeaderName,
+    /// Id of the caller's attempt that brought the first event of the stream that a
+    /// request takes up.
+    pub resumes: HeaderName,
+    /// Id of the last event that the caller has of the stream that it takes up.
+    pub last_event: HeaderName,
     /// Other headers that only the relay may set; removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -117,6 +122,8 @@
             pieces: name("mangobend-pieces"),
             source: name("mangobend-source"),
             inputs: name("mangobend-inputs"),
+            resumes: name("mangobend-resumes"),
+            last_event: name("last-event-id"),
             reserved: Vec::new(),
         };
         let batches = BatchCodec {
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -211,8 +211,13 @@
             chosen = self.relay.placer().choose(now, &granted, &preferences).cloned();
         }
         if let Some(it) = &chosen {
+            let resumption = self.request.resumption.as_ref();
             log::info!(
                 request = self.request.id.as_str(), endpoint = it.name.as_str(), addr:% = it.addr,
+                generation:% = it.generation,
+                version = it.version.as_ref().map_or("none", |it| it.as_str()),
+                resumes = resumption.and_then(|it| it.first_attempt.as_deref()).unwrap_or("none"),
+                last_event = resumption.map_or("none", |it| it.last_event.as_str()),
                 in_flight = self.relay.placer().in_flight(&it.name), candidates = endpoints.len(),
                 tried = tried.len(), tables = view.tables.version.0,
                 left_ms = self.request.remaining().as_millis() as u64;
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -32,6 +32,15 @@
 /// Maximum number of shared prompt parts that are looked at.
 const MAX_PARTS: usize = 16;
 
+/// What a caller says of the stream that it takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id of the attempt that brought the first event; `None` if it isn't named.
+    pub first_attempt: Option<String>,
+    /// Id of the last event that the caller has.
+    pub last_event: String,
+}
+
 /// A valid request with its route.
 pub struct RelayRequest {
     /// Id of the caller's attempt.
@@ -60,6 +69,8 @@
     pub piece_counts: Vec<u32>,
     /// The caller's source, the input of stages that follow no other.
     pub source: String,
+    /// Set if the request takes up a stream that broke off.
+    pub resumption: Option<Resumption>,
     head: Parts,
 }
 
@@ -109,6 +120,7 @@
             prompt: head.headers.get(&names.parts).cloned(),
             piece_counts,
             source: header_text(&head, &names.source).unwrap_or_default().to_owned(),
+            resumption: resumption(&head, names, &route),
             route,
             head,
         })
@@ -234,6 +246,16 @@
     parts.map(Suspect::Part).collect()
 }
 
+/// Reads whether the request takes up a stream. Only streams can be taken up.
+fn resumption(head: &Parts, names: &HeaderNames, route: &RelayRoute) -> Option<Resumption> {
+    let last_event = head.headers.get(&names.last_event).filter(|_| route.retry.is_stream())?;
+    let first_attempt = header_text(head, &names.resumes).map(str::trim);
+    Some(Resumption {
+        first_attempt: first_attempt.filter(|it| !it.is_empty()).map(ToOwned::to_owned),
+        last_event: String::from_utf8_lossy(last_event.as_bytes()).into_owned(),
+    })
+}
+
 /// Returns the list of prompt parts without the last, which is specific to the
 /// request.
 fn affinity(head: &Parts, names: &HeaderNames) -> Option<Vec<u8>> {
--- a/crates/harness/src/relayed.rs
+++ b/crates/harness/src/relayed.rs
@@ -99,6 +99,7 @@
         state: EndpointState::Warm,
         slots: Slots(8),
         cold_slots: Slots(1),
+        version: None,
     }
 }
 
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -115,6 +115,7 @@
                 state,
                 slots: self.spec.slots,
                 cold_slots: self.spec.cold_slots,
+                version: None,
             },
             load: inner.in_flight,
         }
