--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod scripted;
 mod server;
 mod spec;
+mod versioned;
 
 pub mod run;
 
@@ -21,4 +22,5 @@
     record::{Record, RunRecord},
     scripted::{ReceivedRequest, Script, ScriptedEndpoint, Step, header},
     spec::{EndpointSpec, Kind},
+    versioned::{BREAK_HEADER, STREAM_EVENTS, VersionedEndpoint},
 };
