Take streams up only at the software version that began them

Cause: a take-up was placed like any other request. The version of endpoints wasn't decoded, and nobody could have known the version of a stream that another instance, or a process that was killed, had begun.

The leader now tells what a stream came from: by a replicated record while a route's streams can have come from more than one version or pool, and without any record while there is one possibility. What isn't certain is refused at once as not run (outcome 'unresumable').

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -2,7 +2,7 @@
 //! changes of the set of voters.
 
 use {
-    super::{ShareHolder, Voter, shares::EndpointCapacity},
+    super::{Completion, ProposalError, ShareHolder, Voter, shares::EndpointCapacity},
     crate::{
         ids::NodeId,
         raft::HEARTBEAT_INTERVAL,
@@ -34,6 +34,8 @@
 /// How long a suspect is withheld: long enough that its callers have given up, so that one
 /// that goes on to crash endpoints costs few of them an hour.
 const WITHHOLD_TIME: Millis = Millis(600_000);
+/// The least time between two rotations of the record of streams.
+const MIN_ROTATION_TIME: Millis = Millis(30_000);
 /// How long a proposal to withhold a suspect may take before it is made again.
 const PROPOSAL_RETRY: Millis = Millis(1000);
 
@@ -109,6 +111,37 @@
         }
     }
 
+    /// Proposes to record the streams that instances have reported, and to drop old records.
+    pub(super) fn write_streams(&mut self, now: Time) {
+        if let Some((records, tokens)) = self.intake.take_due(now) {
+            match self.raft.propose(Command::RecordStreams(records)) {
+                Ok((term, index)) => {
+                    self.pending.insert(index, (term, tokens));
+                }
+                Err(_) => {
+                    let leader = self.leader_addr();
+                    let err = || Err(ProposalError::NotLeader { leader });
+                    let failed = tokens.into_iter().map(|it| Completion::Proposal(it, err()));
+                    self.completions.extend(failed);
+                }
+            }
+        }
+        if now.since(self.rotated_at) >= self.rotation_time() {
+            self.rotated_at = now;
+            if !self.state.streams.is_empty() {
+                let _ = self.raft.propose(Command::RotateStreams);
+            }
+        }
+    }
+
+    /// How long what is recorded of streams is kept at least: callers take a stream up
+    /// within the time that they wait for it.
+    fn rotation_time(&self) -> Millis {
+        let routes = self.state.tables.catalog.routes.iter();
+        let timeouts = routes.filter(|it| it.retry.is_stream()).map(|it| it.timeout.0);
+        Millis(2 * timeouts.max().unwrap_or_default()).max(MIN_ROTATION_TIME)
+    }
+
     /// Proposes to drop endpoints without reports and instances without a lease.
     pub(super) fn propose_cleanup(&mut self, now: Time) {
         if now.since(self.last_cleanup) < CLEANUP_INTERVAL {
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -15,6 +15,7 @@
         tables::{Delta, SuspectKey, Tables},
         time::Millis,
     },
+    indexmap::IndexSet,
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::net::SocketAddr,
@@ -176,6 +177,9 @@
     pub trials: Vec<SuspectKey>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<LimitReply>,
+    /// The pools whose streams the instance is to record.
+    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
+    pub mixed: IndexSet<PoolName>,
 }
 
 /// The reason for which a renewal is refused.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -228,6 +228,7 @@
             suspects: self.crashes.suspects(),
             trials: self.crashes.trials(),
             limits: None,
+            mixed: self.mixed.clone(),
         }
     }
 
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -7,15 +7,16 @@
         UpdateCounts, UpdateStats,
     },
     crate::{
-        ids::{Bytes, CatalogVersion, Index, NodeId, Slots, Term, Version},
+        ids::{Bytes, CatalogVersion, Index, NodeId, PoolName, Slots, Term, Version},
         limits::LimitTable,
         raft::{
             Config, Entry, Message, Payload, ProposeError, Raft, RestoredState, Role, Snapshot,
         },
+        streams::{StreamAnswer, StreamIntake, StreamQuery},
         tables::{Command, Outcome, State, SuspectKey},
         time::Time,
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::net::SocketAddr,
@@ -88,6 +89,11 @@
     pub(super) endpoints: EndpointTable,
     pub(super) limits: LimitTable,
     pub(super) crashes: CrashEvidence,
+    pub(super) intake: StreamIntake,
+    /// The pools whose streams are recorded.
+    pub(super) mixed: IndexSet<PoolName>,
+    /// When the record of streams was last rotated, or this voter began to lead.
+    pub(super) rotated_at: Time,
     /// The revision of the suspects that each instance was told last.
     pub(super) told_suspects: IndexMap<NodeId, u64>,
     /// When this leader first saw each withheld suspect, or proposed to withhold it.
@@ -126,6 +132,9 @@
             endpoints: EndpointTable::default(),
             limits: LimitTable::default(),
             crashes: CrashEvidence::default(),
+            intake: StreamIntake::default(),
+            mixed: IndexSet::new(),
+            rotated_at: now,
             told_suspects: IndexMap::new(),
             withheld_since: IndexMap::new(),
             lease_ends: IndexMap::new(),
@@ -195,6 +204,7 @@
         self.expire_holders(now);
         self.allocate(now);
         self.update_withheld(now);
+        self.write_streams(now);
         self.propose_cleanup(now);
         self.promote(now);
         self.grant_sends(now);
@@ -208,6 +218,12 @@
             self.completions.push(Completion::Proposal(token, Err(ProposalError::Busy)));
             return;
         }
+        if let Command::RecordStreams(records) = &command
+            && self.raft.has_committed_in_term()
+        {
+            self.intake.add(now, token, records, &self.state.tables);
+            return;
+        }
         if let Command::Catalog { catalog, document } = &command {
             let has_lease = self.raft.lease().is_some_and(|it| it > now);
             if has_lease && self.has_committed_catalog(catalog.version) {
@@ -306,6 +322,23 @@
         self.answer_renewal(now, node, &endpoints);
     }
 
+    /// Returns what a stream came from.
+    ///
+    /// # Errors
+    /// This voter doesn't lead, or can't be sure of it.
+    pub fn find_stream(
+        &self,
+        now: Time,
+        query: &StreamQuery,
+    ) -> Result<StreamAnswer, ProposalError> {
+        let has_lease = self.raft.lease().is_some_and(|it| it > now);
+        if !has_lease || !self.raft.has_committed_in_term() {
+            return Err(ProposalError::NotLeader { leader: self.leader_addr() });
+        }
+        let origin = self.state.streams.find(&self.state.tables, query);
+        Ok(StreamAnswer { origin, index: self.feed.last() })
+    }
+
     /// Takes the counts of the updates sent since the last call.
     pub fn take_update_counts(&mut self) -> UpdateCounts {
         self.update_stats.take()
@@ -407,6 +440,9 @@
             changed |= self.apply(&entry);
         }
         self.update_leadership(now);
+        if changed {
+            self.mixed = self.state.streams.mixed_pools(&self.state.tables);
+        }
         if changed && self.raft.role() == Role::Leader {
             for name in self.endpoints.reload(&self.state.tables, now) {
                 self.shares.revoke(&name, None);
@@ -428,6 +464,9 @@
             let applied = self.state.apply(entry.index, command);
             outcome = applied.outcome;
             changed = applied.delta.is_some();
+            if matches!(command, Command::RotateStreams) {
+                self.mixed = self.state.streams.mixed_pools(&self.state.tables);
+            }
             if let Some(delta) = applied.delta {
                 self.feed.push(entry.index, delta);
             }
@@ -453,6 +492,8 @@
         self.lease_ends.clear();
         self.limits = LimitTable::start(self.raft.term(), now);
         self.crashes = CrashEvidence::default();
+        self.rotated_at = now;
+        self.mixed = self.state.streams.mixed_pools(&self.state.tables);
         self.told_suspects.clear();
         self.withheld_since.clear();
         self.endpoints = EndpointTable::default();
@@ -467,6 +508,9 @@
         let tokens = std::mem::take(&mut self.pending).into_values().flat_map(|(_, it)| it);
         let lost = tokens.map(|it| Completion::Proposal(it, Err(ProposalError::Lost)));
         self.completions.extend(lost);
+        let unwritten = self.intake.fail().into_iter();
+        let lost = unwritten.map(|it| Completion::Proposal(it, Err(ProposalError::Lost)));
+        self.completions.extend(lost);
         let leader = self.leader_addr();
         for (_, it) in std::mem::take(&mut self.renewals) {
             let err = RenewError::NotLeader { leader };
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod relay;
 pub mod router;
 pub mod size;
+pub mod streams;
 pub mod tables;
 pub mod time;
 pub mod wire;
--- a/crates/coord/src/tables/state.rs
+++ b/crates/coord/src/tables/state.rs
@@ -7,6 +7,7 @@
         claims::{Claim, ClaimError, ClaimOutcome, ClaimRequest, Claims, Settlement},
         ids::{ClaimKey, EndpointName, Fence, Generation, Incarnation, Index, NodeId},
         packed::Packed,
+        streams::{StreamGroup, StreamHistory},
         time::WallTime,
     },
     serde::{Deserialize, Serialize},
@@ -57,6 +58,10 @@
     Withhold(SuspectKey),
     #[serde(rename = "release_part")]
     Release(SuspectKey),
+    /// Records what streams came from.
+    RecordStreams(Vec<StreamGroup>),
+    /// Drops what was recorded of streams before the last rotation.
+    RotateStreams,
 }
 
 /// The most suspects that are withheld at a time.
@@ -93,6 +98,9 @@
     /// The source document of the catalog, returned when it is read back.
     #[serde(default)]
     pub document: Option<Arc<str>>,
+    /// What recent streams came from.
+    #[serde(default)]
+    pub streams: StreamHistory,
 }
 
 impl State {
@@ -120,6 +128,14 @@
             Command::Catalog { catalog, document } => self.apply_catalog(catalog, document),
             Command::Withhold(key) => self.withhold(key),
             Command::Release(key) => self.release(key),
+            Command::RecordStreams(records) => {
+                self.streams.record(records);
+                without_delta(Outcome::Done)
+            }
+            Command::RotateStreams => {
+                self.streams.rotate();
+                without_delta(Outcome::Done)
+            }
         }
     }
 
@@ -160,6 +176,9 @@
         if old.is_some_and(|it| !endpoint.supersedes(it)) {
             return without_delta(Outcome::Stale);
         }
+        if let Some(old) = old {
+            self.streams.note_endpoint(old, endpoint);
+        }
         self.apply_delta(Delta::Endpoint(endpoint.clone()), Outcome::Done)
     }
 
@@ -196,6 +215,7 @@
         self.document = Some(document.clone());
         let mut new = Catalog::clone(catalog);
         new.sort();
+        self.streams.note_catalog(&self.tables.catalog, &new);
         let delta = CatalogDelta::between(&self.tables.catalog, &new);
         self.tables.catalog = Arc::new(new);
         Applied { outcome: Outcome::Done, delta: Some(Delta::CatalogEdit(Packed::new(&delta))) }
--- a/crates/daemon/src/core/context.rs
+++ b/crates/daemon/src/core/context.rs
@@ -10,10 +10,12 @@
         telemetry::Meters,
     },
     coord::{
+        ids::PoolName,
         limits::SharedGate,
         raft::RestoredState,
         tables::{Suspects, Tables},
     },
+    indexmap::IndexSet,
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::AtomicBool},
@@ -39,6 +41,8 @@
     pub tables: watch::Sender<Arc<Tables>>,
     /// Publishes what endpoints have crashed under.
     pub suspects: watch::Sender<Arc<Suspects>>,
+    /// The pools whose streams are to be recorded, for the relay.
+    pub mixed: watch::Sender<Arc<IndexSet<PoolName>>>,
     /// The gate that sends to limited endpoints pass.
     pub gate: SharedGate,
     pub drain: Arc<DrainState>,
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -6,6 +6,7 @@
         proposals::Proposal,
         renewals::{Renewals, Unsettled},
         stop::Stop,
+        streams::{Lookup, WaitingLookup},
     },
     crate::{
         callers::CallerReply,
@@ -20,14 +21,14 @@
     },
     coord::{
         control::{Completion, Envelope, LeaseHolder, PeerGuard, Token, Voter, first_voters},
-        ids::{Class, Index, NodeId, RequestId, RouteName, TeamName, Term},
+        ids::{Class, Index, NodeId, PoolName, RequestId, RouteName, TeamName, Term},
         limits::SharedGate,
         raft::{Config, Role},
         router::{Limits, Router},
         tables::{Suspects, Tables},
         time::{Millis, Time, WallTime},
     },
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     stakker::{CX, after, call},
     std::{
         net::SocketAddr,
@@ -64,6 +65,7 @@
     Renewal { sent_at: Time, unsettled: Unsettled },
     Admin { call: Box<OperatorCall>, deadline: Time },
     Peer(Responder),
+    Lookup(Box<Lookup>),
 }
 
 /// A voter's view of its Raft group, as it is logged.
@@ -100,6 +102,10 @@
     pub(super) ready: Arc<AtomicBool>,
     pub(super) tables: watch::Sender<Arc<Tables>>,
     pub(super) suspects: watch::Sender<Arc<Suspects>>,
+    /// The pools whose streams are recorded.
+    pub(super) mixed: watch::Sender<Arc<IndexSet<PoolName>>>,
+    /// Questions what streams came from that wait.
+    pub(super) lookups: Vec<WaitingLookup>,
     pub(super) gate: SharedGate,
     pub(super) drain: Arc<DrainState>,
     pub(super) stop: Option<Stop>,
@@ -157,6 +163,8 @@
             ready: context.ready,
             tables: context.tables,
             suspects: context.suspects,
+            mixed: context.mixed,
+            lookups: Vec::new(),
             gate: context.gate,
             drain: context.drain,
             stop: None,
@@ -198,6 +206,10 @@
                 self.renewals.add_crash(at, report);
             }
             Event::SuspectsAnswered { pool, keys } => self.renewals.add_answered(pool, keys),
+            Event::RecordStreams { records, committed } => {
+                self.record_streams(now, records, committed);
+            }
+            Event::FindStream { query, respond } => self.find_stream(now, query, respond),
             Event::SeedsChanged(seeds) => {
                 log::info!(seeds:? = seeds; "[settings] The addresses to join have changed.");
                 self.renewals.add_seeds(&seeds);
@@ -228,6 +240,7 @@
         self.router.tick(now);
         self.tick_proposals(now);
         self.tick_admin(now);
+        self.tick_lookups(now);
         self.tick_renewals(now);
         self.tick_stop(now);
         let ready = self.holder.has_lease(now) && self.stop.is_none();
--- a/crates/daemon/src/core/mod.rs
+++ b/crates/daemon/src/core/mod.rs
@@ -11,5 +11,6 @@
 mod proposals;
 mod renewals;
 mod stop;
+mod streams;
 
 pub use {context::Context, core::Core};
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -56,6 +56,11 @@
                     }
                 }
             }
+            PeerCall::FindStream(query) => {
+                let unknown = || Err(ProposalError::NotLeader { leader: None });
+                let answer = self.voter.as_ref().map(|it| it.find_stream(now, &query));
+                let _ = respond.send(PeerAnswer::Stream(answer.unwrap_or_else(unknown)));
+            }
             PeerCall::Admin(admin) => {
                 let answer = self.answer_admin(now, &admin);
                 let _ = respond.send(PeerAnswer::Admin(answer));
@@ -101,6 +106,13 @@
                 });
                 self.on_admin_answer(now, call, deadline, result);
             }
+            Pending::Lookup(lookup) => {
+                let result = answer.and_then(|it| match it {
+                    PeerAnswer::Stream(result) => Ok(result),
+                    _ => Err(PeerError::Unreachable),
+                });
+                self.on_lookup_answer(now, *lookup, result);
+            }
             Pending::Peer(_) => {}
         }
     }
--- a/crates/daemon/src/core/proposals.rs
+++ b/crates/daemon/src/core/proposals.rs
@@ -32,10 +32,12 @@
     Join,
     /// An announcement that changes an endpoint's row.
     Announcement(CommitNotice),
+    /// Records of streams.
+    Streams(CommitNotice),
 }
 
-/// Receives true when the tables hold what an endpoint announced, and false if the
-/// change was not committed. `None` if nobody waits.
+/// Receives true when what an endpoint announced, or a record, is committed, and false if
+/// it isn't. `None` if nobody waits.
 pub type CommitNotice = Option<tokio::sync::oneshot::Sender<bool>>;
 
 /// Reports to whoever waits whether an announcement is committed.
@@ -188,7 +190,7 @@
                 (call.respond)(OperatorAnswer::Outcome(outcome));
             }
             Origin::Join => self.on_joined(&outcome),
-            Origin::Announcement(committed) => notify(committed, true),
+            Origin::Announcement(committed) | Origin::Streams(committed) => notify(committed, true),
             Origin::Settlement => {}
         }
     }
@@ -205,7 +207,9 @@
                 (call.respond)(OperatorAnswer::Failed(err));
             }
             Origin::Join => self.renewals.joining = false,
-            Origin::Announcement(committed) => notify(committed, false),
+            Origin::Announcement(committed) | Origin::Streams(committed) => {
+                notify(committed, false)
+            }
             Origin::Settlement => {}
         }
     }
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -405,6 +405,9 @@
             self.router.set_suspects(suspects.clone());
             self.suspects.send_replace(suspects);
         }
+        if **self.mixed.borrow() != reply.mixed {
+            self.mixed.send_replace(Arc::new(std::mem::take(&mut reply.mixed)));
+        }
         self.router.set_team_totals(&reply.teams);
         let (seq, limits) = (reply.seq, reply.limits.take());
         let change = self.holder.apply_reply(now, sent_at, reply);
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -11,6 +11,7 @@
         control::{CrashReport, Envelope, Token},
         ids::{AttemptId, EndpointName, Index, PoolName, RequestId, SystemId},
         router::{AttemptEvent, Submission},
+        streams::{StreamGroup, StreamOrigin, StreamQuery},
         tables::SuspectKey,
         wire::Announcement,
     },
@@ -53,6 +54,10 @@
     EndpointCrashed { report: CrashReport, at: Instant },
     /// An endpoint of a pool has answered a request with these suspects, or with none.
     SuspectsAnswered { pool: PoolName, keys: Vec<SuspectKey> },
+    /// Endpoints have begun streams. `committed` receives whether that is recorded.
+    RecordStreams { records: Vec<StreamGroup>, committed: Option<oneshot::Sender<bool>> },
+    /// A question what a stream came from; the answer is `None` if that isn't certain.
+    FindStream { query: StreamQuery, respond: oneshot::Sender<Option<StreamOrigin>> },
     /// The addresses to join have changed.
     SeedsChanged(Vec<SocketAddr>),
     /// The Raft log is durable up to this index.
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -5,6 +5,7 @@
         control::{PeerRefusal, ProposalError, RenewError, RenewReply, RenewRequest, Status},
         ids::{InstanceName, NodeId},
         raft::Message,
+        streams::{StreamAnswer, StreamQuery},
         tables::{Command, Outcome},
         wire::{ClaimView, HistoryRow, TablesView},
     },
@@ -27,6 +28,7 @@
     Renew(Box<RenewRequest>),
     Propose(Command),
     Admin(AdminRequest),
+    FindStream(StreamQuery),
 }
 
 /// A request of an operator to the leader, forwarded by the instance that
@@ -66,6 +68,7 @@
     Renew(Result<RenewReply, RenewError>),
     Propose(Result<Outcome, ProposalError>),
     Admin(Result<AdminAnswer, ProposalError>),
+    Stream(Result<StreamAnswer, ProposalError>),
 }
 
 /// Why a call was not answered.
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -8,12 +8,13 @@
         crash_watch::AttemptWatch,
         front::RETRY_AFTER_WITHHELD,
         record::{RequestRecord, join_parts},
-        relay::{InFlightGuard, Relay},
+        relay::Relay,
         request::{RelayRequest, connection_options},
         response::{Denial, RelayResponse, deny, full_body, is_hop_by_hop, stream_body},
         stages::StageResults,
-        stream::RelayBody,
+        stream::{RelayBody, StreamGuards},
         upstream::{Lease, SendError},
+        view::View,
     },
     coord::{
         ids::{EndpointName, Rate},
@@ -129,7 +130,9 @@
                 }
                 Reply::Stream(response, check, lease, watch) => {
                     self.relay.placer().answered(&endpoint.name);
-                    return self.stream(response, check, lease, watch, in_flight);
+                    let stream = self.relay.streams.begin(&self.request, &endpoint);
+                    let guards = StreamGuards { lease, watch, stream, in_flight };
+                    return self.stream(response, check, guards);
                 }
                 Reply::Complete(head, body) => {
                     self.relay.placer().answered(&endpoint.name);
@@ -186,9 +189,18 @@
         }
     }
 
+    /// Returns the endpoints of the pool that may be sent the request. A stream goes on only
+    /// at the version that began it.
+    fn candidates<'a>(&self, view: &'a View) -> impl Iterator<Item = &'a Endpoint> {
+        let origin = self.request.origin.clone();
+        let fits =
+            move |it: &&Endpoint| origin.as_ref().is_none_or(|origin| it.version == origin.version);
+        view.endpoints(&self.request.pool).iter().filter(fits)
+    }
+
     fn choose(&self, tried: &[EndpointName]) -> Option<Endpoint> {
         let view = self.relay.view();
-        let endpoints: Vec<&Endpoint> = view.endpoints(&self.request.pool).iter().collect();
+        let endpoints: Vec<&Endpoint> = self.candidates(&view).collect();
         let preferences = Preferences {
             affinity: self.request.affinity.as_deref(),
             domain: self.request.preferred_domain.as_ref(),
@@ -235,7 +247,7 @@
     /// Returns the sum of the limits that endpoints of the pool name.
     fn pool_limit(&self) -> Rate {
         let view = self.relay.view();
-        let endpoints = view.endpoints(&self.request.pool).iter();
+        let endpoints = self.candidates(&view);
         let limits = endpoints.filter_map(|it| self.relay.notices.limit(&it.name));
         Rate(limits.map(|it| it.max(MIN_LIMIT).0).sum())
     }
@@ -245,7 +257,7 @@
     /// first endpoint to return doesn't get all waiting requests at once.
     fn pause_left(&self, tried: &[EndpointName]) -> Option<Duration> {
         let view = self.relay.view();
-        let endpoints = view.endpoints(&self.request.pool).iter();
+        let endpoints = self.candidates(&view);
         let untried: Vec<&Endpoint> = endpoints.filter(|it| !tried.contains(&it.name)).collect();
         let now = self.relay.now();
         let notices = self.relay.notices.table();
@@ -347,9 +359,7 @@
         self,
         response: Response<Incoming>,
         check: BodyCheck,
-        lease: Lease,
-        watch: Box<AttemptWatch>,
-        in_flight: InFlightGuard,
+        guards: StreamGuards,
     ) -> RelayResponse {
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head);
@@ -358,7 +368,7 @@
         }
         self.results.close();
         let deadline = self.request.deadline;
-        let body = RelayBody::new(body, check, lease, watch, deadline, self.record, in_flight);
+        let body = RelayBody::new(body, check, guards, deadline, self.record);
         Response::from_parts(head, stream_body(body))
     }
 
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -43,6 +43,9 @@
 /// `Retry-After` of requests whose stages failed or can't finish in time: about
 /// two calls of a stage.
 const RETRY_AFTER_STAGES: Millis = Millis(500);
+/// `Retry-After` of requests that take up a stream whose origin isn't certain: callers
+/// may begin anew at once.
+const RETRY_AFTER_UNRESUMABLE: Millis = Millis(100);
 /// `Retry-After` while this instance has no catalog yet.
 const RETRY_AFTER_UNREADY: Millis = Millis(200);
 
@@ -170,7 +173,15 @@
             return deny(denial, after);
         }
     };
+    let mut request = request;
+    let bound = bind_stream(relay, &mut request).await;
     let mut record = RequestRecord::new(&request, version, relay.series.clone(), guard);
+    if let Err(denial) = bound {
+        record.finish(denial.name());
+        let mut response = deny(denial, Some(RETRY_AFTER_UNRESUMABLE));
+        add_request_id(&mut response, &request, &names.request);
+        return response;
+    }
     let mut response = match prepare(relay, &request, body).await {
         Ok((body, whole, results)) => {
             let relay = relay.clone();
@@ -185,6 +196,27 @@
     response
 }
 
+/// Restricts a request that takes up a stream to what the stream came from.
+///
+/// # Errors
+/// That isn't certain, or the route doesn't lead there any more.
+async fn bind_stream(relay: &Relay, request: &mut RelayRequest) -> Result<(), Denial> {
+    let Some(resumption) = &request.resumption else {
+        return Ok(());
+    };
+    let origin = relay.streams.find(request).await;
+    log::info!(
+        request = request.id.as_str(), last_event = resumption.last_event.as_str(),
+        resumes = resumption.first_attempt.as_deref().unwrap_or("none"),
+        origin = origin.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string);
+        "[relay] stream taken up"
+    );
+    match origin.is_some_and(|it| request.bind(it)) {
+        true => Ok(()),
+        false => Err(Denial::Unresumable),
+    }
+}
+
 /// Reads the body and runs the stages, a second time if a result was lost.
 async fn prepare(
     relay: &Rc<Relay>,
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod shard_batcher;
 mod stages;
 mod stream;
+mod stream_recorder;
 mod upstream;
 mod view;
 
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -5,7 +5,7 @@
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
         batcher::Batchers, batcher_clients::BatcherClients, buffers::Buffers, clock::time_since,
         crash_watch::CrashWatch, notices::Notices, record::SeriesLabels, request::RelayRequest,
-        upstream::Upstream, view::View,
+        stream_recorder::StreamRecorder, upstream::Upstream, view::View,
     },
     crate::event::Inbox,
     coord::{
@@ -16,6 +16,7 @@
         tables::{Suspects, Tables},
         time::{Millis, Time},
     },
+    indexmap::IndexSet,
     std::{
         cell::RefCell,
         collections::HashMap,
@@ -51,6 +52,8 @@
     pub inbox: Inbox,
     /// What endpoints have crashed under.
     pub suspects: watch::Receiver<Arc<Suspects>>,
+    /// The pools whose streams are to be recorded.
+    pub mixed: watch::Receiver<Arc<IndexSet<PoolName>>>,
     /// The gate that sends to limited endpoints pass.
     pub gate: SharedGate,
     /// The origin of the times that the gate is given.
@@ -71,6 +74,7 @@
     pub notices: Rc<Notices>,
     pub buffers: Buffers,
     pub crashes: CrashWatch,
+    pub streams: Rc<StreamRecorder>,
     pub peer: SocketAddr,
     placer: Rc<RefCell<Placer>>,
     view: RefCell<Rc<View>>,
@@ -105,6 +109,7 @@
             drain,
             inbox,
             suspects,
+            mixed,
             gate,
             start,
             peer,
@@ -114,6 +119,7 @@
         let notices = Rc::new(Notices::new(names, settings.leave_grace, gate, start));
         let buffers = Buffers::default();
         let upstream = Rc::new(Upstream::new(notices.clone()));
+        let streams = StreamRecorder::start(inbox.clone(), mixed, start);
         let crashes = CrashWatch::new(inbox, suspects, peer);
         let relay = Rc::new(Self {
             batchers: Batchers::new(
@@ -127,6 +133,7 @@
             notices,
             buffers,
             crashes,
+            streams,
             dialect: settings.dialect,
             drain,
             upstream,
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -12,6 +12,7 @@
         claims::RequestDigest,
         ids::{DomainName, PoolName, TeamName},
         relay::preferred_domain,
+        streams::{StreamId, StreamOrigin},
         tables::{Endpoint, Suspect},
         time::Millis,
     },
@@ -71,6 +72,10 @@
     pub source: String,
     /// Set if the request takes up a stream that broke off.
     pub resumption: Option<Resumption>,
+    /// Id of the stream that the request begins or takes up; `None` if it isn't known.
+    pub stream_id: Option<StreamId>,
+    /// What the stream came from that the request takes up. Only the same goes on with it.
+    pub origin: Option<StreamOrigin>,
     head: Parts,
 }
 
@@ -106,8 +111,10 @@
         let affinity = route.sticky.then(|| affinity(&head, names)).flatten();
         let preferred_domain =
             choose_domain(view, &route, &pool, affinity.as_deref().unwrap_or(id.as_bytes()));
+        let resumption = resumption(&head, names, &route);
+        let first_attempt = first_attempt(&resumption, &id);
         Ok(Self {
-            id,
+            stream_id: first_attempt.map(|it| StreamId::new(team.as_ref(), it)),
             pool,
             team,
             priority: priority.unwrap_or(route.priority),
@@ -120,12 +127,23 @@
             prompt: head.headers.get(&names.parts).cloned(),
             piece_counts,
             source: header_text(&head, &names.source).unwrap_or_default().to_owned(),
-            resumption: resumption(&head, names, &route),
+            resumption,
+            origin: None,
             route,
+            id,
             head,
         })
     }
 
+    /// Restricts the request to what the stream came from that it takes up. Returns false if
+    /// its route doesn't lead there any more.
+    pub fn bind(&mut self, origin: StreamOrigin) -> bool {
+        let leads = self.route.split.iter().any(|it| it.pool == origin.pool && it.weight > 0);
+        self.pool = origin.pool.clone();
+        self.origin = Some(origin);
+        leads
+    }
+
     /// Returns the time left until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -256,6 +274,14 @@
     })
 }
 
+/// Returns the id of the attempt that brings or brought the first event, if it is known.
+fn first_attempt<'a>(resumption: &'a Option<Resumption>, own: &'a str) -> Option<&'a str> {
+    match resumption {
+        Some(it) => it.first_attempt.as_deref(),
+        None => Some(own),
+    }
+}
+
 /// Returns the list of prompt parts without the last, which is specific to the
 /// request.
 fn affinity(head: &Parts, names: &HeaderNames) -> Option<Vec<u8>> {
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -40,6 +40,8 @@
     Limited,
     /// The request, or a part of its prompt, crashes endpoints and is withheld from them.
     Withheld,
+    /// The request takes up a stream, and it isn't certain which version began it.
+    Unresumable,
     /// The body did not arrive, or the stages can't finish, before the deadline.
     TooLate,
     /// Endpoints refused the request or it could not be sent; it has not run.
@@ -65,6 +67,7 @@
             | Self::Paused
             | Self::Limited
             | Self::Withheld
+            | Self::Unresumable
             | Self::TooLate
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -85,6 +88,7 @@
             Self::Paused => "paused",
             Self::Limited => "limited",
             Self::Withheld => "withheld",
+            Self::Unresumable => "unresumable",
             Self::TooLate => "too_late",
             Self::NotRun => "unrun",
             Self::Unknown => "unknown",
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         body_check::BodyCheck, crash_watch::AttemptWatch, record::RequestRecord,
-        relay::InFlightGuard, upstream::Lease,
+        relay::InFlightGuard, stream_recorder::StreamGuard, upstream::Lease,
     },
     hyper::body::{Body, Bytes, Frame, Incoming, SizeHint},
     std::{
@@ -16,6 +16,14 @@
     tokio::time::{Sleep, sleep_until},
 };
 
+/// What a stream holds while it is under way.
+pub struct StreamGuards {
+    pub lease: Lease,
+    pub watch: Box<AttemptWatch>,
+    pub stream: StreamGuard,
+    pub in_flight: InFlightGuard,
+}
+
 /// Streams an endpoint's response body to the caller. If the body ends early,
 /// the caller's connection is closed, so that a partial body never looks
 /// complete.
@@ -24,6 +32,7 @@
     check: BodyCheck,
     lease: Option<Lease>,
     watch: Option<Box<AttemptWatch>>,
+    stream: Option<StreamGuard>,
     deadline: Pin<Box<Sleep>>,
     record: RequestRecord,
     _in_flight: InFlightGuard,
@@ -34,15 +43,22 @@
     pub fn new(
         inner: Incoming,
         check: BodyCheck,
-        lease: Lease,
-        watch: Box<AttemptWatch>,
+        guards: StreamGuards,
         deadline: Instant,
         record: RequestRecord,
-        in_flight: InFlightGuard,
     ) -> Self {
         let deadline = Box::pin(sleep_until(deadline.into()));
-        let (lease, watch) = (Some(lease), Some(watch));
-        let mut body = Self { inner, check, lease, watch, deadline, record, _in_flight: in_flight };
+        let StreamGuards { lease, watch, stream, in_flight } = guards;
+        let mut body = Self {
+            inner,
+            check,
+            lease: Some(lease),
+            watch: Some(watch),
+            stream: Some(stream),
+            deadline,
+            record,
+            _in_flight: in_flight,
+        };
         body.finish_at_end();
         body
     }
@@ -74,6 +90,9 @@
         if let Some(watch) = self.watch.take() {
             watch.close();
         }
+        if let Some(stream) = self.stream.take() {
+            stream.close();
+        }
         self.record.finish("whole");
     }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -153,6 +153,7 @@
     let drain = Arc::new(DrainState::default());
     let (tables, tables_rx) = watch::channel(Arc::default());
     let (suspects, suspects_rx) = watch::channel(Arc::default());
+    let (mixed, mixed_rx) = watch::channel(Arc::default());
     let (gate, start) = (SharedGate::default(), Instant::now());
     let context = CallerContext {
         inbox: inbox.clone(),
@@ -172,6 +173,7 @@
             drain,
             inbox: inbox.clone(),
             suspects: suspects_rx,
+            mixed: mixed_rx,
             gate,
             start,
             peer: peer_addr,
@@ -203,6 +205,7 @@
         peer_addr,
         tables,
         suspects,
+        mixed,
         drain,
         endpoints: EndpointClient::new(settings.endpoint_threads, inbox, gate.clone()),
         gate,
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -103,6 +103,7 @@
                 drain: shared,
                 inbox: Inbox::new(sync_channel(1).0),
                 suspects: watch::channel(Arc::default()).1,
+                mixed: watch::channel(Arc::default()).1,
                 gate: SharedGate::default(),
                 start: Instant::now(),
                 peer: addr,
