Resume stages of the own interface only at the version that began them

Looked for elsewhere after the fault in take-ups: the router of the project's own interface resumes a stage that broke off from the next missing piece, at any endpoint of its pool, within one answer. The pieces of two software versions were joined, in streams and in the input of the next stage.

An attempt now knows its endpoint's version; after the first piece only endpoints of that version are picked. If none is free the request fails at once instead of waiting for its deadline.

routing.rs: a_stage_that_broke_off_is_resumed_only_at_the_version_that_began_it failed before (the stage was sent to v2) and passes.

--- a/crates/coord/src/router/admission.rs
+++ b/crates/coord/src/router/admission.rs
@@ -112,6 +112,7 @@
             pieces: 0,
             effect: EffectState::NotSent,
             begun: false,
+            began: None,
             excluded: Vec::new(),
             refusals: 0,
             reports: Vec::new(),
--- a/crates/coord/src/router/attempts.rs
+++ b/crates/coord/src/router/attempts.rs
@@ -100,6 +100,9 @@
             self.fail(now, request, Reason::StageFailed, "the stage's output is too long");
             return;
         }
+        if row.pieces == 0 {
+            row.began = Some(self.attempts[&id].origin.clone());
+        }
         row.pieces += 1;
         row.output.push_str(&data);
         let streamed = row.is_last() && row.submission.stream;
@@ -159,6 +162,7 @@
         row.stage += 1;
         row.input = std::mem::take(&mut row.output).into();
         row.pieces = 0;
+        row.began = None;
         row.excluded.clear();
         self.enqueue(now, id);
     }
--- a/crates/coord/src/router/picker.rs
+++ b/crates/coord/src/router/picker.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         control::{Demand, EndpointReport, Grants, Holding},
-        ids::{DomainName, EndpointName, Generation, PoolName, Slots},
+        ids::{DomainName, EndpointName, Generation, PoolName, Slots, SoftwareVersion},
         limits::{LimitNotice, SharedGate},
         relay::{EndpointNotice, EndpointNotices},
+        streams::StreamOrigin,
         tables::{Endpoint, EndpointState, PoolKind, Tables},
         time::{Millis, Time},
     },
@@ -62,6 +63,7 @@
     pub name: EndpointName,
     pub addr: SocketAddr,
     pub generation: Generation,
+    pub version: Option<SoftwareVersion>,
 }
 
 #[derive(Debug)]
@@ -70,6 +72,7 @@
     domain: DomainName,
     addr: SocketAddr,
     generation: Generation,
+    version: Option<SoftwareVersion>,
     in_service: bool,
     slots: u32,
     cold: bool,
@@ -184,13 +187,15 @@
     }
 
     /// Picks a free endpoint of a pool and takes one of its slots. Endpoints in
-    /// `avoid` come last, others in their failure domains second to last.
+    /// `avoid` come last, others in their failure domains second to last. With `began`
+    /// only endpoints of that software version are picked.
     pub fn pick(
         &mut self,
         now: Time,
         pool: &PoolName,
         input: &str,
         avoid: &[EndpointName],
+        began: Option<&StreamOrigin>,
     ) -> Option<Candidate> {
         let prefix = prefix_of(input);
         let shares = self.policy == Policy::Shares;
@@ -198,6 +203,7 @@
             avoid.iter().filter_map(|it| self.rows.get(it)).map(|it| it.domain.clone()).collect();
         let mut free: Vec<usize> =
             (0..self.rows.len()).filter(|i| self.is_free(now, *i, pool, shares)).collect();
+        free.retain(|i| began.is_none_or(|it| it.version == self.rows[*i].version));
         if free.iter().any(|i| !self.is_leaving(*i)) {
             free.retain(|i| !self.is_leaving(*i));
         }
@@ -210,7 +216,12 @@
         row.in_flight += 1;
         row.sent_since += 1;
         row.last_prefix = prefix;
-        Some(Candidate { name: name.clone(), addr: row.addr, generation: row.generation })
+        Some(Candidate {
+            name: name.clone(),
+            addr: row.addr,
+            generation: row.generation,
+            version: row.version.clone(),
+        })
     }
 
     /// Whether a pool has a free endpoint.
@@ -381,6 +392,7 @@
             domain: endpoint.domain.clone(),
             addr: endpoint.addr,
             generation: endpoint.generation,
+            version: endpoint.version.clone(),
             in_service: true,
             slots: endpoint.slots.0,
             cold: false,
@@ -407,6 +419,7 @@
         self.domain = endpoint.domain.clone();
         self.addr = endpoint.addr;
         self.generation = endpoint.generation;
+        self.version = endpoint.version.clone();
         self.in_service = tables.is_in_service(endpoint);
         self.slots = endpoint.slots.0;
         self.cold = endpoint.state == EndpointState::Cold;
--- a/crates/coord/src/router/request.rs
+++ b/crates/coord/src/router/request.rs
@@ -7,6 +7,7 @@
             AttemptId, ClaimKey, Class, EndpointName, Fence, Generation, PoolName, RequestId,
             RouteName, StageName, TeamName, Tokens,
         },
+        streams::StreamOrigin,
         tables::Stage,
         time::{Millis, Time},
     },
@@ -73,6 +74,8 @@
     pub output: String,
     /// The number of pieces in `output`.
     pub pieces: u32,
+    /// What the pieces came from; the stage is resumed only there.
+    pub began: Option<StreamOrigin>,
     pub effect: EffectState,
     /// Whether any endpoint may have begun any stage.
     pub begun: bool,
@@ -88,6 +91,7 @@
     pub request: RequestId,
     pub endpoint: EndpointName,
     pub generation: Generation,
+    pub origin: StreamOrigin,
     pub started: Time,
     pub last_event: Time,
     pub pieces: u32,
--- a/crates/coord/src/router/router.rs
+++ b/crates/coord/src/router/router.rs
@@ -12,6 +12,7 @@
         ids::{AttemptId, EndpointName, Generation, PoolName, RequestId, TeamName},
         limits::SharedGate,
         relay::Trials,
+        streams::StreamOrigin,
         tables::{SuspectKey, Suspects, Tables},
         time::{Millis, Time},
     },
@@ -302,6 +303,11 @@
         self.budget.earn();
         if !self.send_attempt(now, id, false) {
             self.end_trial(&pool, &origin);
+            if self.requests[&id].began.is_some() {
+                let detail = "no endpoint of the version that began the stage is free";
+                self.fail(now, id, Reason::StageFailed, detail);
+                return;
+            }
             self.enqueue(now, id);
         }
     }
@@ -336,8 +342,8 @@
     pub(super) fn send_attempt(&mut self, now: Time, id: RequestId, hedged: bool) -> bool {
         let request = self.requests.get_mut(&id).expect("the request is held");
         let stage = request.stages[request.stage].clone();
-        let picked =
-            self.picker.pick(now, &stage.pool, &request.submission.input, &request.excluded);
+        let (input, began) = (&request.submission.input, request.began.as_ref());
+        let picked = self.picker.pick(now, &stage.pool, input, &request.excluded, began);
         let Some(picked) = picked else {
             return false;
         };
@@ -358,7 +364,7 @@
             generation: picked.generation,
             origin: request.origin(),
             addr: picked.addr,
-            pool: stage.pool,
+            pool: stage.pool.clone(),
             class: request.submission.class,
             remaining: request.deadline.since(now),
             from_piece: request.pieces,
@@ -370,6 +376,7 @@
             request: id,
             endpoint: picked.name,
             generation: picked.generation,
+            origin: StreamOrigin { pool: stage.pool, version: picked.version },
             started: now,
             last_event: now,
             pieces: 0,
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -220,6 +220,46 @@
     assert_ne!(again.endpoint, sent.endpoint, "in another failure domain");
 }
 
+/// Starts a streamed request of one stage at endpoints of these versions; the endpoint of
+/// the first attempt then breaks off after a piece. Returns that attempt.
+fn break_off_stream(router: &mut Router, versions: [&str; 2]) -> EndpointCall {
+    let mut tables = Tables::clone(&router_tables());
+    for (it, version) in tables.endpoints.values_mut().zip(versions) {
+        it.version = Some(version.parse().expect("a version"));
+    }
+    router.reload(Arc::new(tables));
+    router.submit(NOW, Submission { stream: true, ..submission("two") });
+    let sent = take_calls(router).remove(0);
+    router.on_attempt_event(NOW, sent.ident.attempt, piece(&sent.ident, 0));
+    let failed = AttemptEvent::Failed { sent: true, detail: "reset".to_owned() };
+    router.on_attempt_event(NOW, sent.ident.attempt, failed);
+    sent
+}
+
+#[test]
+fn a_stage_that_broke_off_is_resumed_only_at_the_version_that_began_it() {
+    let (mut same, mut other) = (router(4), router(4));
+
+    let first = break_off_stream(&mut same, ["v1", "v1"]);
+    break_off_stream(&mut other, ["v1", "v2"]);
+
+    let resumed = take_calls(&mut same).remove(0);
+    assert_ne!(resumed.endpoint, first.endpoint);
+    let (finish, calls) = take_finish_and_calls(&mut other);
+    assert_eq!(calls, 0, "what two versions write isn't joined");
+    assert_eq!(outcome(&finish), Outcome::Unknown);
+}
+
+fn take_finish_and_calls(router: &mut Router) -> (Finish, usize) {
+    let actions = router.take_actions();
+    let calls = actions.iter().filter(|it| matches!(it, Action::Send(_))).count();
+    let finish = actions.into_iter().find_map(|it| match it {
+        Action::Finish { finish, .. } => Some(*finish),
+        _ => None,
+    });
+    (finish.expect("the request has ended"), calls)
+}
+
 #[test]
 fn a_request_that_was_only_refused_ends_as_not_run() {
     let mut router = router(1);
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -38,7 +38,7 @@
                     }
                     None => {
                         let err = RenewError::NotLeader { leader: None };
-                        let _ = respond.send(PeerAnswer::Renew(Err(err)));
+                        let _ = respond.send(PeerAnswer::Renew(Box::new(Err(err))));
                     }
                 }
             }
@@ -94,7 +94,7 @@
             }
             Pending::Renewal { sent_at, unsettled } => {
                 let result = answer.and_then(|it| match it {
-                    PeerAnswer::Renew(result) => Ok(result),
+                    PeerAnswer::Renew(result) => Ok(*result),
                     _ => Err(PeerError::Unreachable),
                 });
                 self.on_renewal(now, token, sent_at, unsettled, result);
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -298,7 +298,7 @@
                 self.on_renewal(now, token, sent_at, unsettled, Ok(result));
             }
             Some(Pending::Peer(respond)) => {
-                let _ = respond.send(crate::peers::PeerAnswer::Renew(result));
+                let _ = respond.send(crate::peers::PeerAnswer::Renew(Box::new(result)));
             }
             _ => {}
         }
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -65,7 +65,7 @@
     #[serde(rename = "taken")]
     Accepted,
     Refused(PeerRefusal),
-    Renew(Result<RenewReply, RenewError>),
+    Renew(Box<Result<RenewReply, RenewError>>),
     Propose(Result<Outcome, ProposalError>),
     Admin(Result<AdminAnswer, ProposalError>),
     Stream(Result<StreamAnswer, ProposalError>),
