Take nothing that was written for another request as an answer

An endpoint that wrote an old refusal once more on a kept connection made callers be told 'not run', or their request was sent to a second endpoint, while the first one ran it. other_answers.rs shows it: a request that may run once reached both endpoints (failed before, passes now).

Ruled out by tests that passed before: an old refusal right behind an answer, and one that arrives while the connection is idle; hyper closes such connections, unless the bytes arrive just before the next request is written. That is now looked at right before each send on a kept connection (one read a send). An answer without an id on a kept connection counts as none. On a new connection nothing older can come.

A relayed stream is never sent again after its head; a stream that breaks off isn't ended.

--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -309,7 +309,7 @@
         let is_stream = response.status().is_success() && self.request.route.retry.is_stream();
         let mut check = BodyCheck::new(&response, is_stream);
         self.record.set_framing(check.framing());
-        if let Some(reply) = check_head(names, &self.request, &response) {
+        if let Some(reply) = check_head(names, &self.request, &response, lease.is_reused()) {
             return reply;
         }
         self.relay.record_run_time(&self.request.pool, self.body.len(), began.elapsed());
@@ -422,6 +422,7 @@
     names: &HeaderNames,
     request: &RelayRequest,
     response: &Response<Incoming>,
+    reused: bool,
 ) -> Option<Reply> {
     let headers = response.headers();
     let status = response.status();
@@ -429,6 +430,10 @@
     if echo.is_some_and(|it| it.as_bytes() != request.id.as_bytes()) {
         return Some(Reply::Improper("the response belongs to another request"));
     }
+    if reused && echo.is_none() {
+        // It may be an old answer, written once more.
+        return Some(Reply::Improper("the request id is missing on a reused connection"));
+    }
     if headers.contains_key(&names.not_run) && status == StatusCode::CONFLICT {
         return Some(Reply::InputGone);
     }
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod response;
 mod settings;
 mod shard_batcher;
+mod shared_stream;
 mod stages;
 mod stream;
 mod stream_recorder;
--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 client connections to endpoints, with reuse of idle ones.
 
 use {
-    super::notices::Notices,
+    super::{notices::Notices, shared_stream::SharedStream},
     coord::{ids::EndpointName, tables::Endpoint, time::Millis},
     http_body_util::Full,
     hyper::{
@@ -70,9 +70,17 @@
     }
 }
 
-struct IdleConnection {
+/// A connection to an endpoint.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    task: ConnectionTask,
+    stream: SharedStream,
+    _task: ConnectionTask,
+    /// Whether a request was answered on it before.
+    reused: bool,
+}
+
+struct IdleConnection {
+    connection: Connection,
     expires: Instant,
 }
 
@@ -88,8 +96,7 @@
 /// A connection in use for one request. Dropping the lease closes the
 /// connection, which makes the endpoint cancel the request.
 pub struct Lease {
-    sender: SendRequest<Full<Bytes>>,
-    task: ConnectionTask,
+    connection: Connection,
     endpoint: EndpointName,
     idle_timeout: Option<Millis>,
     upstream: Rc<Upstream>,
@@ -120,7 +127,7 @@
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         let mut request = request;
         while let Some(idle) = self.take_idle(&endpoint.name) {
-            match self.attempt(endpoint, idle.sender, idle.task, request).await {
+            match self.attempt(endpoint, idle, request).await {
                 Err((SendError::Closed, Some(unsent))) => request = unsent,
                 result => return result.map_err(|(err, _)| err),
             }
@@ -128,8 +135,8 @@
         if !self.notices.may_send(&endpoint.name) {
             return Err(SendError::Withheld);
         }
-        let (sender, task) = connect(endpoint.addr).await?;
-        let result = self.attempt(endpoint, sender, task, request).await;
+        let connection = connect(endpoint.addr).await?;
+        let result = self.attempt(endpoint, connection, request).await;
         result.map_err(|(err, _)| err)
     }
 
@@ -141,7 +148,7 @@
     /// Closes idle connections that are expired or closed by the endpoint.
     pub fn expire(&self, now: Instant) {
         for connections in self.idle.borrow_mut().values_mut() {
-            connections.retain(|it| it.expires > now && !it.sender.is_closed());
+            connections.retain(|it| it.expires > now && !it.connection.sender.is_closed());
         }
     }
 
@@ -149,18 +156,25 @@
     async fn attempt(
         self: &Rc<Self>,
         endpoint: &Endpoint,
-        mut sender: SendRequest<Full<Bytes>>,
-        task: ConnectionTask,
+        mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Lease), (SendError, Option<Request<Full<Bytes>>>)> {
-        if sender.ready().await.is_err() {
+        if connection.sender.ready().await.is_err() {
+            return Err((SendError::Closed, Some(request)));
+        }
+        // What arrived before the request can't be its answer.
+        if connection.reused && connection.stream.is_spoiled() {
+            log::info!(
+                endpoint = endpoint.name.as_str();
+                "[relay] idle connection closed: bytes without a request, or its end"
+            );
             return Err((SendError::Closed, Some(request)));
         }
         let Some(permit) = self.notices.take_permit(&endpoint.name) else {
             return Err((SendError::Withheld, None));
         };
         let sent = self.notices.now();
-        match sender.try_send_request(request).await {
+        match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 if self.notices.read(endpoint, sent, &response) {
                     self.idle.borrow_mut().remove(&endpoint.name);
@@ -168,7 +182,7 @@
                 let idle_timeout = idle_timeout(response.headers());
                 let upstream = self.clone();
                 let endpoint = endpoint.name.clone();
-                Ok((response, Lease { sender, task, endpoint, idle_timeout, upstream }))
+                Ok((response, Lease { connection, endpoint, idle_timeout, upstream }))
             }
             Err(mut err) => match err.take_message() {
                 Some(request) => {
@@ -180,13 +194,13 @@
         }
     }
 
-    fn take_idle(&self, name: &EndpointName) -> Option<IdleConnection> {
+    fn take_idle(&self, name: &EndpointName) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(name)?;
         while let Some(it) = connections.pop() {
-            if it.expires > now && !it.sender.is_closed() {
-                return Some(it);
+            if it.expires > now && !it.connection.sender.is_closed() {
+                return Some(it.connection);
             }
         }
         None
@@ -194,26 +208,32 @@
 }
 
 impl Lease {
+    /// Whether another request was answered on the connection before.
+    pub fn is_reused(&self) -> bool {
+        self.connection.reused
+    }
+
     /// Returns the connection to the pool after a complete response, unless the
     /// endpoint closes it.
     pub fn release(self) {
-        let Self { sender, task, endpoint, idle_timeout, upstream } = self;
+        let Self { connection, endpoint, idle_timeout, upstream } = self;
         let leaving = upstream.notices.table().is_leaving(&endpoint);
-        let Some(idle_timeout) = idle_timeout.filter(|_| !sender.is_closed() && !leaving) else {
+        let Some(idle_timeout) =
+            idle_timeout.filter(|_| !connection.sender.is_closed() && !leaving)
+        else {
             return;
         };
         let expires = Instant::now() + Duration::from_millis(idle_timeout.0);
         let mut idle = upstream.idle.borrow_mut();
         let connections = idle.entry(endpoint).or_default();
         if connections.len() < MAX_IDLE_PER_ENDPOINT {
-            connections.push(IdleConnection { sender, task, expires });
+            let connection = Connection { reused: true, ..connection };
+            connections.push(IdleConnection { connection, expires });
         }
     }
 }
 
-async fn connect(
-    addr: SocketAddr,
-) -> Result<(SendRequest<Full<Bytes>>, ConnectionTask), SendError> {
+async fn connect(addr: SocketAddr) -> Result<Connection, SendError> {
     let failed = |source| SendError::Connect { source };
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
         Ok(it) => it.map_err(failed)?,
@@ -222,13 +242,15 @@
     configure_socket(&stream).map_err(failed)?;
     let mut client = http1::Builder::new();
     client.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
-    let handshake = client.handshake(TokioIo::new(stream)).await;
+    let stream = SharedStream::new(stream);
+    let handshake = client.handshake(TokioIo::new(stream.clone())).await;
     let (sender, connection) = handshake.map_err(|err| failed(io::Error::other(err)))?;
     let handle = tokio::task::spawn_local(async move {
         // The sender of the request gets the error too.
         let _ = connection.await;
     });
-    Ok((sender, ConnectionTask(handle.abort_handle())))
+    let task = ConnectionTask(handle.abort_handle());
+    Ok(Connection { sender, stream, _task: task, reused: false })
 }
 
 /// Disables Nagle's algorithm and enables the user timeout and keepalive
--- /dev/null
+++ b/crates/daemon/tests/other_answers.rs
@@ -0,0 +1,115 @@
+//! Answers on a connection to an endpoint that belong to something else.
+
+mod relaying;
+
+use {
+    coord::catalog::RetryPolicy,
+    relaying::{call, catalog, endpoint, not_run, request, route, scripted, signed_ok, start},
+    standin::{AnswerEnd, AnswerFraming, FramedAnswer, Step},
+    std::{thread::sleep, time::Duration},
+};
+
+const KEEP_ALIVE: &str = "keep-alive: timeout=5\r\n";
+/// The time in which bytes on a loopback connection have arrived.
+const ARRIVAL_TIME: Duration = Duration::from_millis(50);
+
+/// A signed answer that keeps its connection.
+fn kept(seen: &standin::ReceivedRequest) -> Vec<u8> {
+    standin::signed_response(seen, "200 OK", &format!("{KEEP_ALIVE}content-length: 4\r\n"), "fine")
+}
+
+#[test]
+fn an_old_refusal_that_comes_instead_of_an_answer_is_no_proof_that_a_request_has_not_run() {
+    let repeats = scripted(|seen, number| match number {
+        0 => vec![Step::Send(kept(seen))],
+        _ => vec![Step::Send(not_run("503 Service Unavailable")), Step::Wait(ARRIVAL_TIME)],
+    });
+    let other = scripted(|seen, _| vec![Step::Send(signed_ok(seen, "again"))]);
+    let relay = start(catalog(route(RetryPolicy::Once)), &[endpoint("e", "app", repeats.addr)]);
+    let first = call(&relay, &request("id1", "", ""));
+    relay.tables.send_modify(|tables| {
+        let row = endpoint("f", "app", other.addr);
+        std::sync::Arc::make_mut(tables).endpoints.insert(row.name.clone(), row);
+    });
+    sleep(ARRIVAL_TIME);
+
+    let answers: Vec<u16> =
+        (2..8).map(|it| call(&relay, &request(&format!("id{it}"), "", "")).status).collect();
+
+    assert_eq!(first.status, 200);
+    let seen = repeats.received();
+    let reused = seen.iter().filter(|it| it.connection == seen[0].connection).count();
+    assert!(reused > 1, "the connection is used again");
+    let id = seen[1].header("mangobend-request").expect("an id").to_owned();
+    let sent = other.received();
+    assert!(sent.iter().all(|it| it.header("mangobend-request") != Some(&id)), "{id} runs twice");
+    assert!(answers.contains(&502), "whoever was answered by an old refusal isn't told 'not run'");
+}
+
+#[test]
+fn an_old_refusal_behind_an_answer_is_not_taken_for_the_next() {
+    let backend = scripted(|seen, _| {
+        let bytes = [kept(seen), not_run("503 Service Unavailable")];
+        vec![Step::Send(bytes.concat())]
+    });
+    let relay = start(catalog(route(RetryPolicy::Once)), &[endpoint("e", "app", backend.addr)]);
+
+    let answers: Vec<u16> =
+        (0..20).map(|it| call(&relay, &request(&format!("id{it}"), "", "")).status).collect();
+
+    assert_eq!(answers, [200; 20]);
+}
+
+#[test]
+fn an_old_refusal_that_arrives_later_spoils_the_connection() {
+    let backend = scripted(|seen, _| {
+        let late = Duration::from_millis(10);
+        let refusal = not_run("503 Service Unavailable");
+        vec![Step::Send(kept(seen)), Step::Wait(late), Step::Send(refusal)]
+    });
+    let relay = start(catalog(route(RetryPolicy::Once)), &[endpoint("e", "app", backend.addr)]);
+
+    let answers: Vec<u16> = (0..10)
+        .map(|it| {
+            sleep(ARRIVAL_TIME);
+            call(&relay, &request(&format!("id{it}"), "", "")).status
+        })
+        .collect();
+
+    assert_eq!(answers, [200; 10]);
+}
+
+#[test]
+fn nothing_of_another_endpoints_error_comes_into_a_stream_that_has_begun() {
+    let event = "id: 1\ndata: one\n\n";
+    let breaks = scripted(move |seen, _| {
+        let answer = FramedAnswer {
+            media: "text/event-stream",
+            framing: AnswerFraming::Chunked,
+            text: event.to_owned(),
+            end: AnswerEnd::Reset,
+        };
+        let mut steps = answer.steps(seen);
+        steps.insert(1, Step::Wait(ARRIVAL_TIME));
+        steps
+    });
+    let fails = scripted(|seen, _| {
+        let head = "content-length: 12\r\n";
+        let text =
+            standin::signed_response(seen, "500 Internal Server Error", head, "out of paste");
+        vec![Step::Send(text)]
+    });
+    let rows = [endpoint("e", "app", breaks.addr), endpoint("f", "app", fails.addr)];
+    let relay = start(catalog(route(RetryPolicy::ResumableStream)), &rows);
+
+    let answers: Vec<_> =
+        (0..12).map(|it| call(&relay, &request(&format!("id{it}"), "", ""))).collect();
+
+    let begun: Vec<_> = answers.iter().filter(|it| it.status == 200).collect();
+    assert!(!begun.is_empty(), "some requests go to the endpoint that begins streams");
+    for got in begun {
+        let text = got.text();
+        assert!(!got.complete, "it doesn't end as complete: {text}");
+        assert!(text.contains(event) && !text.contains("HTTP/1.1") && !text.contains("paste"));
+    }
+}
