Hand requests to other instances while this one reaches no endpoints

Cause: each instance served its own callers by its own links only. A cut one went on to try endpoints, a time-out each, and to gather pieces of stages for the others. Ruled out: sick endpoints (the others reached them in the same second).

An instance now tries connections to up to five endpoints of several pools and domains when a connection fails, or when none has answered for 0.7 s while requests wait. If all fail it counts as cut off until half of them are reached. It tells the leader, which tells all; nobody gathers at it any more. Its requests go to another relay at random, whole, with the time that is left, one hop: the other one counts, places, retries and cancels as for its own callers. With all cut off they are refused at once.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -149,7 +149,7 @@
         }
         self.last_cleanup = now;
         let roster = &self.state.tables.roster;
-        self.told_suspects.retain(|id, _| roster.contains_key(id));
+        self.told.retain(|id, _| roster.contains_key(id));
         for (name, generation) in self.endpoints.expired(now) {
             let _ = self.raft.propose(Command::DropEndpoint { name, generation });
         }
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! renews its lease with the leader and routes by its own copy of the tables.
 
 mod crash_evidence;
+mod cut_table;
 mod duties;
 mod endpoints;
 mod envelope;
@@ -21,6 +22,7 @@
 
 pub use {
     crash_evidence::{CRASH_WINDOW, CrashEvidence, CrashReport},
+    cut_table::CutTable,
     endpoints::EndpointTable,
     envelope::{Envelope, PeerRefusal},
     feed::Feed,
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -70,6 +70,9 @@
     /// Whether the instance reads packed updates; earlier builds don't.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub packed: bool,
+    /// Whether the instance reaches no endpoints.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cut: bool,
     /// Whether the instance is stopping. The reply then has a lease of length zero.
     pub leaving: bool,
 }
@@ -180,6 +183,9 @@
     /// The pools whose streams the instance is to record.
     #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
     pub mixed: IndexSet<PoolName>,
+    /// The instances that reach no endpoints.
+    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
+    pub cut: IndexSet<NodeId>,
 }
 
 /// The reason for which a renewal is refused.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -51,6 +51,7 @@
             }
             self.limits.add_demand(holder, &limits.demand);
         }
+        self.cut.record(request.node, request.cut);
         for it in &request.crashes {
             self.crashes.record_crash(now, it);
         }
@@ -107,7 +108,8 @@
         if self.renewals.is_empty() {
             return;
         }
-        let state = (self.shares.revision(), self.crashes.revision(), self.feed.last());
+        let (suspects, cut) = self.news();
+        let state = (self.shares.revision(), suspects, cut, self.feed.last());
         let changed = self.last_answered != state;
         self.last_answered = state;
         let due = |it: &Renewal| changed || now >= it.deadline || self.has_limit_news(now, it);
@@ -151,8 +153,8 @@
         }
         let has_update = it.request.applied < self.feed.last() || it.request.applied == Index(0);
         let first = self.leases.get(node).is_none_or(|row| row.until <= now + LEASE_DURATION);
-        let told = self.told_suspects.get(&node).copied().unwrap_or_default();
-        let news = self.has_limit_news(now, it) || told != self.crashes.revision();
+        let told = self.told.get(&node).copied().unwrap_or_default();
+        let news = self.has_limit_news(now, it) || told != self.news();
         if grants.is_none() && !has_update && !first && known && !news && now < it.deadline {
             return;
         }
@@ -164,7 +166,7 @@
             version: it.request.version,
         };
         self.leases.grant(now, node, row);
-        self.told_suspects.insert(node, self.crashes.revision());
+        self.told.insert(node, self.news());
         let mut reply = self.reply(&it.request, grants);
         let held = now.since(it.received);
         reply.limits = it.request.limits.as_ref().map(|limits| LimitReply {
@@ -201,6 +203,11 @@
         self.limits.has_grants(holder) || matches!(update, LimitListUpdate::New(_))
     }
 
+    /// The revisions of what all instances are told.
+    fn news(&self) -> (u64, u64) {
+        (self.crashes.revision(), self.cut.revision())
+    }
+
     fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
         let tables = &self.state.tables;
         let update = match request.packed {
@@ -229,6 +236,7 @@
             trials: self.crashes.trials(),
             limits: None,
             mixed: self.mixed.clone(),
+            cut: self.cut.nodes(),
         }
     }
 
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        CrashEvidence, EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable, MemberStatus,
-        RenewError, RenewReply, RenewRequest, ShareHolder, ShareTable, Status, TeamTable,
-        UpdateCounts, UpdateStats,
+        CrashEvidence, CutTable, EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable,
+        MemberStatus, RenewError, RenewReply, RenewRequest, ShareHolder, ShareTable, Status,
+        TeamTable, UpdateCounts, UpdateStats,
     },
     crate::{
         ids::{Bytes, CatalogVersion, Index, NodeId, PoolName, Slots, Term, Version},
@@ -80,9 +80,9 @@
     /// Who waits for the outcome of an entry, and the term in which it was proposed.
     pub(super) pending: IndexMap<Index, (Term, Vec<Token>)>,
     pub(super) renewals: IndexMap<NodeId, Renewal>,
-    /// The revisions of the shares and the suspects, and the last delta, when delayed
-    /// renewals were last answered.
-    pub(super) last_answered: (u64, u64, Index),
+    /// The revisions of the shares, the suspects and the instances cut off, and the last
+    /// delta, when delayed renewals were last answered.
+    pub(super) last_answered: (u64, u64, u64, Index),
     pub(super) leases: LeaseTable,
     pub(super) shares: ShareTable,
     pub(super) teams: TeamTable,
@@ -90,12 +90,14 @@
     pub(super) limits: LimitTable,
     pub(super) crashes: CrashEvidence,
     pub(super) intake: StreamIntake,
+    pub(super) cut: CutTable,
     /// The pools whose streams are recorded.
     pub(super) mixed: IndexSet<PoolName>,
     /// When the record of streams was last rotated, or this voter began to lead.
     pub(super) rotated_at: Time,
-    /// The revision of the suspects that each instance was told last.
-    pub(super) told_suspects: IndexMap<NodeId, u64>,
+    /// The revisions of the suspects and of the instances cut off that each instance was
+    /// told last.
+    pub(super) told: IndexMap<NodeId, (u64, u64)>,
     /// When this leader first saw each withheld suspect, or proposed to withhold it.
     pub(super) withheld_since: IndexMap<SuspectKey, Time>,
     /// When the leases of registered holders were found to have expired.
@@ -125,7 +127,7 @@
             update_stats: UpdateStats::default(),
             pending: IndexMap::new(),
             renewals: IndexMap::new(),
-            last_answered: (0, 0, start),
+            last_answered: (0, 0, 0, start),
             leases: LeaseTable::default(),
             shares: ShareTable::default(),
             teams: TeamTable::default(),
@@ -133,9 +135,10 @@
             limits: LimitTable::default(),
             crashes: CrashEvidence::default(),
             intake: StreamIntake::default(),
+            cut: CutTable::default(),
             mixed: IndexSet::new(),
             rotated_at: now,
-            told_suspects: IndexMap::new(),
+            told: IndexMap::new(),
             withheld_since: IndexMap::new(),
             lease_ends: IndexMap::new(),
             leading_term: None,
@@ -205,6 +208,7 @@
         self.allocate(now);
         self.update_withheld(now);
         self.write_streams(now);
+        self.cut.retain(|id| self.leases.may_hold(id, now));
         self.propose_cleanup(now);
         self.promote(now);
         self.grant_sends(now);
@@ -494,7 +498,8 @@
         self.crashes = CrashEvidence::default();
         self.rotated_at = now;
         self.mixed = self.state.streams.mixed_pools(&self.state.tables);
-        self.told_suspects.clear();
+        self.told.clear();
+        self.cut = CutTable::default();
         self.withheld_since.clear();
         self.endpoints = EndpointTable::default();
         self.endpoints.reload(&self.state.tables, now);
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod placer;
 mod preferred_domain;
 mod queue_waits;
+mod reach;
 mod shard;
 mod stage_plan;
 mod trials;
@@ -22,6 +23,7 @@
     placer::{Placer, Preferences},
     preferred_domain::preferred_domain,
     queue_waits::QueueWaits,
+    reach::Reach,
     shard::{Shard, is_split, shards},
     stage_plan::{StagePlan, StageProgress},
     trials::Trials,
--- a/crates/coord/tests/catalog_delta.rs
+++ b/crates/coord/tests/catalog_delta.rs
@@ -88,6 +88,7 @@
         trials: Vec::new(),
         limits: None,
         mixed: Default::default(),
+        cut: Default::default(),
     }
 }
 
--- a/crates/coord/tests/relay.rs
+++ b/crates/coord/tests/relay.rs
@@ -256,6 +256,7 @@
         name: format!("n{id}").parse().expect("a name"),
         domain: if id.is_multiple_of(2) { "a" } else { "b" }.parse().expect("a name"),
         peer: ([127, 0, 0, 1], id as u16).into(),
+        relay: None,
         incarnation: Incarnation(1),
         disk: false,
     };
@@ -296,6 +297,7 @@
         name: format!("n{id}").parse().expect("a name"),
         domain: "d".parse().expect("a name"),
         peer: ([127, 0, 0, 1], port).into(),
+        relay: None,
         incarnation: Incarnation(1),
         disk,
     };
--- a/crates/coord/tests/state.rs
+++ b/crates/coord/tests/state.rs
@@ -268,6 +268,7 @@
         name: "i".parse().expect("a name"),
         domain: "d".parse().expect("a name"),
         peer: "127.0.0.1:9".parse().expect("an address"),
+        relay: None,
         incarnation: Incarnation(2),
         disk: true,
     };
--- a/crates/coord/tests/voter_cluster/mod.rs
+++ b/crates/coord/tests/voter_cluster/mod.rs
@@ -220,6 +220,7 @@
             answered_pools: Vec::new(),
             limits: None,
             packed: true,
+            cut: false,
             leaving: false,
         };
         let voter = self.voter(leader).expect("the leader runs");
@@ -233,6 +234,7 @@
                 name: format!("n{number}").parse().expect("a name"),
                 domain: "d".parse().expect("a name"),
                 peer: peer(number),
+                relay: None,
                 incarnation: Incarnation(1),
                 disk: true,
             };
--- a/crates/daemon/src/core/context.rs
+++ b/crates/daemon/src/core/context.rs
@@ -10,7 +10,7 @@
         telemetry::Meters,
     },
     coord::{
-        ids::PoolName,
+        ids::{NodeId, PoolName},
         limits::SharedGate,
         raft::RestoredState,
         tables::{Suspects, Tables},
@@ -43,6 +43,10 @@
     pub suspects: watch::Sender<Arc<Suspects>>,
     /// The pools whose streams are to be recorded, for the relay.
     pub mixed: watch::Sender<Arc<IndexSet<PoolName>>>,
+    /// The instances that reach no endpoints, for the relay.
+    pub cut: watch::Sender<Arc<IndexSet<NodeId>>>,
+    /// The address at which other instances reach the relay, if there is one.
+    pub relay_addr: Option<SocketAddr>,
     /// The gate that sends to limited endpoints pass.
     pub gate: SharedGate,
     pub drain: Arc<DrainState>,
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -104,6 +104,10 @@
     pub(super) suspects: watch::Sender<Arc<Suspects>>,
     /// The pools whose streams are recorded.
     pub(super) mixed: watch::Sender<Arc<IndexSet<PoolName>>>,
+    /// The instances that reach no endpoints.
+    pub(super) cut: watch::Sender<Arc<IndexSet<NodeId>>>,
+    /// Where this instance takes relayed requests.
+    pub(super) relay_addr: Option<SocketAddr>,
     /// Questions what streams came from that wait.
     pub(super) lookups: Vec<WaitingLookup>,
     pub(super) gate: SharedGate,
@@ -164,6 +168,8 @@
             tables: context.tables,
             suspects: context.suspects,
             mixed: context.mixed,
+            cut: context.cut,
+            relay_addr: context.relay_addr,
             lookups: Vec::new(),
             gate: context.gate,
             drain: context.drain,
@@ -210,6 +216,7 @@
                 self.record_streams(now, records, committed);
             }
             Event::FindStream { query, respond } => self.find_stream(now, query, respond),
+            Event::ReachChanged { is_cut } => self.renewals.set_cut(is_cut),
             Event::SeedsChanged(seeds) => {
                 log::info!(seeds:? = seeds; "[settings] The addresses to join have changed.");
                 self.renewals.add_seeds(&seeds);
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -95,6 +95,9 @@
     seed_index: usize,
     hello_at: Time,
     peer_addrs: IndexMap<NodeId, SocketAddr>,
+    /// Whether this instance reaches no endpoints, and the leader isn't told of a change.
+    cut: bool,
+    cut_unreported: bool,
     /// When renewals started to fail, and when that was last logged.
     failing: Option<(Time, Time)>,
     /// Whether a join is pending.
@@ -119,6 +122,8 @@
             seed_index: 0,
             hello_at: Time(0),
             peer_addrs: IndexMap::new(),
+            cut: false,
+            cut_unreported: false,
             failing: None,
             joining: false,
             after_sync: Vec::new(),
@@ -132,6 +137,12 @@
         self.seeds = all.into_iter().collect();
     }
 
+    /// Sets whether this instance reaches no endpoints, for the next renewal.
+    pub fn set_cut(&mut self, is_cut: bool) {
+        self.cut_unreported |= self.cut != is_cut;
+        self.cut = is_cut;
+    }
+
     /// Keeps an endpoint's latest load report for the next renewal.
     pub fn add_report(&mut self, report: EndpointReport) {
         self.reports.insert(report.endpoint.clone(), report);
@@ -248,6 +259,7 @@
             self.renewals.add_answered(pool, keys);
         }
         let early = self.renewals.unsettled.is_urgent()
+            || self.renewals.cut_unreported
             || self.router.is_starved(now)
             || self.gate.lock().has_news();
         let count = self.holder.tables().roster.len() as u64;
@@ -358,6 +370,7 @@
 
     fn renewal_request(&mut self, now: Time, unsettled: Unsettled, leaving: bool) -> RenewRequest {
         self.renewals.seq += 1;
+        self.renewals.cut_unreported = false;
         let wants_holdings = self.holder.want_holdings() || self.renewals.seq == 1;
         let limits = self.gate.lock().request(now, self.renewals.seq, wants_holdings);
         let crashes = match wants_holdings {
@@ -384,6 +397,7 @@
             answered_pools: unsettled.answered_pools.into_iter().collect(),
             limits: Some(limits),
             packed: true,
+            cut: self.renewals.cut,
             leaving,
         }
     }
@@ -408,6 +422,11 @@
         if **self.mixed.borrow() != reply.mixed {
             self.mixed.send_replace(Arc::new(std::mem::take(&mut reply.mixed)));
         }
+        if **self.cut.borrow() != reply.cut {
+            let nodes: Vec<String> = reply.cut.iter().map(ToString::to_string).collect();
+            log::info!(nodes = nodes.join(","); "[lease] instances that reach no endpoints");
+            self.cut.send_replace(Arc::new(std::mem::take(&mut reply.cut)));
+        }
         self.router.set_team_totals(&reply.teams);
         let (seq, limits) = (reply.seq, reply.limits.take());
         let change = self.holder.apply_reply(now, sent_at, reply);
@@ -469,6 +488,7 @@
             name: self.settings.name.clone(),
             domain: self.settings.domain.clone(),
             peer: self.peer_addr,
+            relay: self.relay_addr,
             incarnation: self.identity.incarnation,
             disk: self.disk.is_some(),
         };
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -58,6 +58,8 @@
     RecordStreams { records: Vec<StreamGroup>, committed: Option<oneshot::Sender<bool>> },
     /// A question what a stream came from; the answer is `None` if that isn't certain.
     FindStream { query: StreamQuery, respond: oneshot::Sender<Option<StreamOrigin>> },
+    /// This instance reaches no endpoints any more, or reaches them again.
+    ReachChanged { is_cut: bool },
     /// The addresses to join have changed.
     SeedsChanged(Vec<SocketAddr>),
     /// The Raft log is durable up to this index.
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -7,6 +7,7 @@
         body_check::BodyCheck,
         crash_watch::AttemptWatch,
         front::RETRY_AFTER_WITHHELD,
+        hand_over::HandOver,
         record::{RequestRecord, join_parts},
         relay::Relay,
         request::{RelayRequest, connection_options},
@@ -91,6 +92,9 @@
         let mut tried: Vec<EndpointName> = Vec::new();
         self.relay.earn_retry(&self.request.pool);
         loop {
+            if self.may_hand_over(&attempts) {
+                return self.hand_over(attempts.may_have_run()).await;
+            }
             let suspects = self.request.parts.iter().chain([&self.whole]);
             if self.relay.view().is_withheld(&self.request.pool, suspects) {
                 return match attempts.may_have_run() {
@@ -189,6 +193,18 @@
         }
     }
 
+    /// Whether another instance is to serve the request, as this one reaches no endpoints.
+    fn may_hand_over(&self, attempts: &Attempts) -> bool {
+        let repeatable = !attempts.may_have_run() || self.request.route.retry.is_retryable();
+        self.relay.reach.is_cut() && !self.request.handed && repeatable
+    }
+
+    async fn hand_over(self, may_have_run: bool) -> RelayResponse {
+        self.results.close();
+        let Self { relay, request, body, record, .. } = self;
+        HandOver { relay, request, body, record, may_have_run }.run().await
+    }
+
     /// Returns the endpoints of the pool that may be sent the request. A stream goes on only
     /// at the version that began it.
     fn candidates<'a>(&self, view: &'a View) -> impl Iterator<Item = &'a Endpoint> {
@@ -457,7 +473,7 @@
 }
 
 /// Removes headers that apply only to the connection to the endpoint.
-fn strip_hop_by_hop(head: &mut Parts) {
+pub fn strip_hop_by_hop(head: &mut Parts) {
     let options = connection_options(&head.headers);
     let names: Vec<_> = head.headers.keys().cloned().collect();
     for name in names {
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -4,6 +4,7 @@
     super::{
         DrainPhase, PieceError,
         forward::{Forward, RETRY_AFTER_TRIAL},
+        hand_over::{HANDED_OVER, HandOver, RETRY_AFTER_CUT, is_handed_over},
         record::RequestRecord,
         relay::Relay,
         request::RelayRequest,
@@ -150,6 +151,7 @@
     let version = view.catalog().version.0;
     let names = &relay.dialect.headers;
     let id = head.headers.get(&names.request).cloned();
+    let handed = is_handed_over(&head.headers, &relay.mark);
     let request = match RelayRequest::parse(&view, names, head, received) {
         Ok(it) if relay.drain.phase() < DrainPhase::Closed => Ok(it),
         Ok(_) => Err(Denial::Stopping),
@@ -174,6 +176,11 @@
         }
     };
     let mut request = request;
+    request.handed = handed;
+    if relay.reach.is_cut() {
+        let record = RequestRecord::new(&request, version, relay.series.clone(), guard);
+        return serve_elsewhere(relay, request, body, record).await;
+    }
     let bound = bind_stream(relay, &mut request).await;
     let mut record = RequestRecord::new(&request, version, relay.series.clone(), guard);
     if let Err(denial) = bound {
@@ -217,20 +224,53 @@
     }
 }
 
+/// Hands a request to another instance, or refuses one that was handed over.
+async fn serve_elsewhere(
+    relay: &Rc<Relay>,
+    request: RelayRequest,
+    body: Incoming,
+    mut record: RequestRecord,
+) -> RelayResponse {
+    let name = &relay.dialect.headers.request;
+    if request.handed {
+        record.finish(Denial::NoEndpoint.name());
+        let mut response = deny(Denial::NoEndpoint, Some(RETRY_AFTER_CUT));
+        add_request_id(&mut response, &request, name);
+        response.headers_mut().insert(HANDED_OVER, relay.mark.clone());
+        return response;
+    }
+    match read_body(relay, &request, body).await {
+        Ok(body) => {
+            let relay = relay.clone();
+            HandOver { relay, request, body, record, may_have_run: false }.run().await
+        }
+        Err(denial) => {
+            record.finish(denial.name());
+            let mut response = deny(denial, None);
+            add_request_id(&mut response, &request, name);
+            response
+        }
+    }
+}
+
+/// Reads the body within its bound and the request's deadline.
+async fn read_body(relay: &Relay, request: &RelayRequest, body: Incoming) -> Result<Bytes, Denial> {
+    let limit = relay.view().catalog().limits.max_body.0 as usize;
+    match timeout_at(request.deadline.into(), Limited::new(body, limit).collect()).await {
+        Ok(Ok(it)) => Ok(it.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Denial::TooLarge),
+        Ok(Err(_)) => Err(Denial::Malformed),
+        Err(_) => Err(Denial::TooLate),
+    }
+}
+
 /// Reads the body and runs the stages, a second time if a result was lost.
 async fn prepare(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     body: Incoming,
 ) -> Result<(Bytes, Suspect, StageResults), (Denial, Option<Millis>)> {
-    let limit = relay.view().catalog().limits.max_body.0 as usize;
-    let deadline = request.deadline.into();
-    let body = match timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        Ok(Ok(it)) => it.to_bytes(),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => return Err((Denial::TooLarge, None)),
-        Ok(Err(_)) => return Err((Denial::Malformed, None)),
-        Err(_) => return Err((Denial::TooLate, None)),
-    };
+    let body = read_body(relay, request, body).await.map_err(|denial| (denial, None))?;
     let whole = Suspect::Request(request.digest(&body));
     let view = relay.view();
     let pools = request.route.stages.iter().map(|it| &it.pool).chain([&request.pool]);
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -13,8 +13,11 @@
 mod forward;
 mod framing;
 mod front;
+mod hand_over;
+mod handed_body;
 mod notices;
 mod pieces;
+mod reach_watch;
 mod record;
 #[allow(clippy::module_inception)]
 mod relay;
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -4,18 +4,20 @@
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
         batcher::Batchers, batcher_clients::BatcherClients, buffers::Buffers, clock::time_since,
-        crash_watch::CrashWatch, notices::Notices, record::SeriesLabels, request::RelayRequest,
+        crash_watch::CrashWatch, hand_over::hand_over_mark, notices::Notices,
+        reach_watch::ReachWatch, record::SeriesLabels, request::RelayRequest,
         stream_recorder::StreamRecorder, upstream::Upstream, view::View,
     },
     crate::event::Inbox,
     coord::{
-        ids::{EndpointName, PoolName, StageName},
+        ids::{EndpointName, NodeId, PoolName, StageName},
         limits::SharedGate,
         relay::{Placer, QueueWaits, Shard},
         router::{Estimator, RetryBudget},
         tables::{Suspects, Tables},
         time::{Millis, Time},
     },
+    hyper::header::HeaderValue,
     indexmap::IndexSet,
     std::{
         cell::RefCell,
@@ -54,6 +56,8 @@
     pub suspects: watch::Receiver<Arc<Suspects>>,
     /// The pools whose streams are to be recorded.
     pub mixed: watch::Receiver<Arc<IndexSet<PoolName>>>,
+    /// The instances that reach no endpoints.
+    pub cut: watch::Receiver<Arc<IndexSet<NodeId>>>,
     /// The gate that sends to limited endpoints pass.
     pub gate: SharedGate,
     /// The origin of the times that the gate is given.
@@ -75,6 +79,9 @@
     pub buffers: Buffers,
     pub crashes: CrashWatch,
     pub streams: Rc<StreamRecorder>,
+    pub reach: Rc<ReachWatch>,
+    /// Marks requests that are handed over between instances.
+    pub mark: HeaderValue,
     pub peer: SocketAddr,
     placer: Rc<RefCell<Placer>>,
     view: RefCell<Rc<View>>,
@@ -110,6 +117,7 @@
             inbox,
             suspects,
             mixed,
+            cut,
             gate,
             start,
             peer,
@@ -118,7 +126,8 @@
         let names = &settings.dialect.headers;
         let notices = Rc::new(Notices::new(names, settings.leave_grace, gate, start));
         let buffers = Buffers::default();
-        let upstream = Rc::new(Upstream::new(notices.clone()));
+        let reach = ReachWatch::new(inbox.clone(), cut, start);
+        let upstream = Rc::new(Upstream::new(notices.clone(), reach.clone()));
         let streams = StreamRecorder::start(inbox.clone(), mixed, start);
         let crashes = CrashWatch::new(inbox, suspects, peer);
         let relay = Rc::new(Self {
@@ -134,6 +143,8 @@
             buffers,
             crashes,
             streams,
+            reach,
+            mark: hand_over_mark(&secret),
             dialect: settings.dialect,
             drain,
             upstream,
@@ -154,6 +165,7 @@
         tokio::task::spawn_local(relay.clone().watch_tables(tables));
         tokio::task::spawn_local(relay.batchers.clone().serve(batcher_events));
         tokio::task::spawn_local(relay.clone().sweep());
+        tokio::task::spawn_local(relay.reach.clone().run(relay.clone()));
         relay
     }
 
@@ -212,6 +224,13 @@
         self.queue_waits.borrow().order(self.now(), shards, domain, request.priority, subject)
     }
 
+    /// Whether the instance at a peer address reaches no endpoints.
+    pub fn is_peer_cut(&self, addr: SocketAddr) -> bool {
+        let view = self.view();
+        let mut members = view.tables.roster.values();
+        members.any(|it| it.peer == addr && self.reach.is_peer_cut(it.id))
+    }
+
     /// Returns the expected queue time of a piece at a shard; zero without a
     /// recent report.
     pub fn expected_wait(&self, shard: &Shard, priority: u8) -> Millis {
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         Handle, HeaderNames,
+        hand_over::HANDED_OVER,
         response::{Denial, is_hop_by_hop},
         view::View,
     },
@@ -74,6 +75,8 @@
     pub resumption: Option<Resumption>,
     /// Id of the stream that the request begins or takes up; `None` if it isn't known.
     pub stream_id: Option<StreamId>,
+    /// Whether another instance has handed the request over.
+    pub handed: bool,
     /// What the stream came from that the request takes up. Only the same goes on with it.
     pub origin: Option<StreamOrigin>,
     head: Parts,
@@ -128,6 +131,7 @@
             piece_counts,
             source: header_text(&head, &names.source).unwrap_or_default().to_owned(),
             resumption,
+            handed: false,
             origin: None,
             route,
             id,
@@ -159,6 +163,30 @@
         RequestDigest::of_fields(&[fields[0], fields[1], fields[2], fields[3], body])
     }
 
+    /// Builds the request to another instance: the caller's own with the time that is left.
+    pub fn handed_over(
+        &self,
+        names: &HeaderNames,
+        mark: HeaderValue,
+        body: Bytes,
+    ) -> Request<Full<Bytes>> {
+        let options = connection_options(&self.head.headers);
+        let mut request = Request::new(Full::new(body));
+        for (name, value) in &self.head.headers {
+            if !is_hop_by_hop(name) && !options.contains(name) && name != CONTENT_LENGTH {
+                request.headers_mut().append(name.clone(), value.clone());
+            }
+        }
+        let remaining = self.remaining().saturating_sub(RESPONSE_MARGIN).as_millis().max(1);
+        insert(request.headers_mut(), &names.deadline, &remaining.to_string());
+        insert(request.headers_mut(), &HOST, host(&self.head));
+        request.headers_mut().insert(HANDED_OVER, mark);
+        *request.method_mut() = self.head.method.clone();
+        let path = self.head.uri.path_and_query().map_or("/", |it| it.as_str());
+        *request.uri_mut() = path.parse::<Uri>().expect("the path of a valid URI is valid");
+        request
+    }
+
     /// Builds the request to an endpoint: the caller's own without hop-by-hop
     /// and reserved headers, plus the headers that the relay sets.
     pub fn outgoing(
@@ -293,7 +321,7 @@
 /// Whether a header is set, replaced or removed by the relay.
 fn is_reserved(names: &HeaderNames, name: &HeaderName) -> bool {
     let reserved = [&names.deadline, &names.key, &names.team, &names.endpoint, &names.inputs];
-    reserved.contains(&name) || names.reserved.contains(name)
+    reserved.contains(&name) || names.reserved.contains(name) || *name == HANDED_OVER
 }
 
 /// Returns the header names listed in the `Connection` header.
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -1,7 +1,7 @@
 //! Responses to callers.
 
 use {
-    super::{request::RelayRequest, stream::RelayBody},
+    super::{handed_body::HandedBody, request::RelayRequest, stream::RelayBody},
     coord::time::Millis,
     http_body_util::{Either, Full},
     hyper::{
@@ -12,7 +12,7 @@
 };
 
 /// Body of a response to a caller.
-pub type ResponseBody = Either<Full<Bytes>, RelayBody>;
+pub type ResponseBody = Either<Full<Bytes>, Either<RelayBody, HandedBody>>;
 
 /// A response to a caller.
 pub type RelayResponse = Response<ResponseBody>;
@@ -116,7 +116,12 @@
 
 /// Creates a body that is forwarded as it arrives.
 pub fn stream_body(body: RelayBody) -> ResponseBody {
-    Either::Right(body)
+    Either::Right(Either::Left(body))
+}
+
+/// Creates a body that another instance forwards.
+pub fn handed_body(body: HandedBody) -> ResponseBody {
+    Either::Right(Either::Right(body))
 }
 
 /// Whether a header applies to one connection only and must not be forwarded.
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -201,7 +201,8 @@
         let shards = relay.shards(&spec.pool, request);
         let batchers = |shard: &Shard| {
             let batchers = view.batchers(shard);
-            let near = batchers.iter().take(MAX_BATCHERS).map(|it| (shard.clone(), *it));
+            let able = batchers.iter().filter(|it| !relay.is_peer_cut(**it));
+            let near = able.take(MAX_BATCHERS).map(|it| (shard.clone(), *it));
             near.collect::<Vec<_>>()
         };
         let mut candidates: Vec<_> = shards.iter().take(MAX_SHARDS).flat_map(batchers).collect();
--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 client connections to endpoints, with reuse of idle ones.
 
 use {
-    super::{notices::Notices, shared_stream::SharedStream},
+    super::{notices::Notices, reach_watch::ReachWatch, shared_stream::SharedStream},
     coord::{ids::EndpointName, tables::Endpoint, time::Millis},
     http_body_util::Full,
     hyper::{
@@ -70,9 +70,9 @@
     }
 }
 
-/// A connection to an endpoint.
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+/// A connection to an endpoint or another instance.
+pub struct Connection {
+    pub sender: SendRequest<Full<Bytes>>,
     stream: SharedStream,
     _task: ConnectionTask,
     /// Whether a request was answered on it before.
@@ -106,13 +106,14 @@
 pub struct Upstream {
     idle: RefCell<HashMap<EndpointName, Vec<IdleConnection>>>,
     notices: Rc<Notices>,
+    reach: Rc<ReachWatch>,
 }
 
 impl Upstream {
     /// Creates the pool without connections. It reads the endpoints' notices from
     /// their answers and sends nothing against them.
-    pub fn new(notices: Rc<Notices>) -> Self {
-        Self { idle: RefCell::default(), notices }
+    pub fn new(notices: Rc<Notices>, reach: Rc<ReachWatch>) -> Self {
+        Self { idle: RefCell::default(), notices, reach }
     }
 
     /// Sends a request and waits for the response head.
@@ -124,6 +125,22 @@
         self: &Rc<Self>,
         endpoint: &Endpoint,
         request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        let _waiting = self.reach.note_sent();
+        let sent = self.send_on_any(endpoint, request).await;
+        match &sent {
+            Ok(_) => self.reach.note_answer(),
+            Err(SendError::Withheld) => {}
+            Err(_) => self.reach.note_failure(),
+        }
+        sent
+    }
+
+    /// Sends a request on an idle connection, or a new one if there is none.
+    async fn send_on_any(
+        self: &Rc<Self>,
+        endpoint: &Endpoint,
+        request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Lease), SendError> {
         let mut request = request;
         while let Some(idle) = self.take_idle(&endpoint.name) {
@@ -233,7 +250,11 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Connection, SendError> {
+/// Opens a connection.
+///
+/// # Errors
+/// It can't be made in time.
+pub async fn connect(addr: SocketAddr) -> Result<Connection, SendError> {
     let failed = |source| SendError::Connect { source };
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
         Ok(it) => it.map_err(failed)?,
--- a/crates/daemon/src/relay/view.rs
+++ b/crates/daemon/src/relay/view.rs
@@ -86,6 +86,11 @@
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the endpoints of all pools that accept new work.
+    pub fn all_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.pools.values().flatten()
+    }
+
     /// Returns the shards of a pool that runs stages.
     pub fn shards(&self, pool: &PoolName) -> &[Shard] {
         self.shards.get(pool).map_or(&[], Vec::as_slice)
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -154,6 +154,8 @@
     let (tables, tables_rx) = watch::channel(Arc::default());
     let (suspects, suspects_rx) = watch::channel(Arc::default());
     let (mixed, mixed_rx) = watch::channel(Arc::default());
+    let (cut, cut_rx) = watch::channel(Arc::default());
+    let relay_addr = addresses.relay.map(|it| SocketAddr::new(peer_addr.ip(), it.port()));
     let (gate, start) = (SharedGate::default(), Instant::now());
     let context = CallerContext {
         inbox: inbox.clone(),
@@ -174,6 +176,7 @@
             inbox: inbox.clone(),
             suspects: suspects_rx,
             mixed: mixed_rx,
+            cut: cut_rx,
             gate,
             start,
             peer: peer_addr,
@@ -206,6 +209,8 @@
         tables,
         suspects,
         mixed,
+        cut,
+        relay_addr,
         drain,
         endpoints: EndpointClient::new(settings.endpoint_threads, inbox, gate.clone()),
         gate,
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -69,6 +69,7 @@
         name: format!("n{id}").parse().expect("a name"),
         domain: domain.parse().expect("a name"),
         peer: ([127, 0, 0, 2], id as u16).into(),
+        relay: None,
         incarnation: Incarnation(1),
         disk: false,
     }
@@ -104,6 +105,7 @@
                 inbox: Inbox::new(sync_channel(1).0),
                 suspects: watch::channel(Arc::default()).1,
                 mixed: watch::channel(Arc::default()).1,
+                cut: watch::channel(Arc::default()).1,
                 gate: SharedGate::default(),
                 start: Instant::now(),
                 peer: addr,
