--- a/crates/harness/tests/cut_off.rs
+++ b/crates/harness/tests/cut_off.rs
@@ -4,12 +4,13 @@
 use {
     coord::{catalog::RetryPolicy, tables::Endpoint},
     harness::{
-        Cluster, ClusterSpec, Fault, LONG_TIMEOUT, Proxy, RawResponse, announce, relay_catalog,
-        relay_endpoint, relay_request, relay_route, try_exchange, wait_until,
+        Cluster, ClusterSpec, Fault, LONG_TIMEOUT, Proxy, RawResponse, announce, connect,
+        relay_catalog, relay_endpoint, relay_request, relay_route, try_exchange, wait_until,
     },
     standin::{ScriptedEndpoint, Step, signed_response},
     std::{
         collections::HashMap,
+        io::{Read, Write},
         sync::Mutex,
         thread,
         time::{Duration, Instant},
@@ -59,7 +60,7 @@
 }
 
 impl System {
-    fn start(retry: RetryPolicy, work: Duration) -> Self {
+    fn start(retry: RetryPolicy, endpoint: impl Fn() -> ScriptedEndpoint) -> Self {
         let spec = ClusterSpec {
             args: ["--relay-listen", "127.0.0.1:0"].map(ToOwned::to_owned).to_vec(),
             ..ClusterSpec::new(VOTERS, INSTANCES - VOTERS)
@@ -69,7 +70,7 @@
             .operator()
             .post::<serde_json::Value>("/v1/catalog", &relay_catalog(relay_route(retry)));
         posted.expect("the catalog is accepted");
-        let endpoints: Vec<_> = (0..ENDPOINTS).map(|_| start_endpoint(work)).collect();
+        let endpoints: Vec<_> = (0..ENDPOINTS).map(|_| endpoint()).collect();
         let proxies: Vec<_> = endpoints.iter().map(|it| Proxy::start(it.addr)).collect();
         for proxy in &proxies {
             cluster.daemons().for_each(|it| proxy.track_process(it.proc.id()));
@@ -159,7 +160,7 @@
 
 #[test]
 fn callers_of_instances_that_are_cut_off_are_served_as_often_as_the_others() {
-    let system = System::start(RetryPolicy::Once, WORK_TIME);
+    let system = System::start(RetryPolicy::Once, || start_endpoint(WORK_TIME));
     for count in [1, INSTANCES / 2, INSTANCES - 1] {
         let cut: Vec<usize> = (0..count).collect();
         system.cut(&cut, true);
@@ -179,7 +180,7 @@
 
 #[test]
 fn a_request_is_refused_at_once_if_all_instances_are_cut_off() {
-    let system = System::start(RetryPolicy::Once, WORK_TIME);
+    let system = System::start(RetryPolicy::Once, || start_endpoint(WORK_TIME));
     let all: Vec<usize> = (0..INSTANCES).collect();
     system.cut(&all, true);
     system.run("before", CONTACT);
@@ -195,7 +196,8 @@
 
 #[test]
 fn a_request_whose_helper_dies_runs_once_at_most_and_a_refusal_is_true() {
-    let mut system = System::start(RetryPolicy::Once, Duration::from_millis(300));
+    let mut system =
+        System::start(RetryPolicy::Once, || start_endpoint(Duration::from_millis(300)));
     let cut: Vec<usize> = (0..INSTANCES - 2).collect();
     system.cut(&cut, true);
     system.run("before", CONTACT);
@@ -217,3 +219,61 @@
     assert!(served >= 4, "only {served} of 24 were served, the other helper lives");
     system.cluster.kill(INSTANCES - 1);
 }
+
+/// Starts an endpoint that streams an event, and the last one after some time.
+fn start_stream(pause: Duration) -> ScriptedEndpoint {
+    ScriptedEndpoint::start(Box::new(move |seen, _| {
+        let head = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        let chunk = |id: u32| {
+            let event = format!("id: {id}\ndata: it\n\n");
+            Step::Send(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes())
+        };
+        let warm = seen.header("mangobend-request").is_some_and(|it| it.starts_with("warm"));
+        let pause = if warm { Duration::ZERO } else { pause };
+        let last = Step::Send(b"0\r\n\r\n".to_vec());
+        let begin = Step::Send(signed_response(seen, "200 OK", head, ""));
+        vec![begin, chunk(1), Step::Wait(pause), chunk(2), last]
+    }))
+}
+
+#[test]
+fn a_stream_through_another_instance_comes_event_by_event_and_is_cancelled_with_its_caller() {
+    let pause = Duration::from_millis(1500);
+    let system = System::start(RetryPolicy::ResumableStream, || start_stream(pause));
+    system.cut(&[0], true);
+    let end = Instant::now() + CONTACT;
+    while Instant::now() < end {
+        system.send(0, "warm-again");
+        thread::sleep(SEND_INTERVAL);
+    }
+    let begin = |id: &str| {
+        let mut stream = connect(system.cluster.daemon(0).relay_addr());
+        stream.write_all(relay_request(id, "", "").as_bytes()).expect("the relay reads");
+        let (began, mut bytes) = (Instant::now(), Vec::new());
+        while !String::from_utf8_lossy(&bytes).contains("id: 1") {
+            let mut buffer = [0; 4096];
+            let count = stream.read(&mut buffer).expect("the stream goes on");
+            assert!(count > 0, "the stream has begun");
+            bytes.extend_from_slice(&buffer[..count]);
+        }
+        (stream, began.elapsed())
+    };
+
+    let (mut whole, first) = begin("whole");
+    let mut rest = String::new();
+    while !rest.ends_with("0\r\n\r\n") {
+        let mut buffer = [0; 4096];
+        let count = whole.read(&mut buffer).expect("the stream goes on");
+        assert!(count > 0, "the stream ends as complete: {rest}");
+        rest.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    let before = Instant::now();
+    drop(begin("left").0);
+    let left = Instant::now();
+    thread::sleep(Duration::from_millis(600));
+
+    assert!(first < pause / 2, "the first event took {first:?}");
+    let ends: Vec<Instant> = system.endpoints.iter().flat_map(|it| it.disconnects()).collect();
+    let in_time = |it: &&Instant| **it > before && **it < left + Duration::from_millis(500);
+    assert!(ends.iter().any(|it| in_time(&it)), "the endpoint is told within half a second");
+}
