--- a/crates/daemon/src/relay/hand_over.rs
+++ b/crates/daemon/src/relay/hand_over.rs
@@ -135,7 +135,7 @@
     /// one may be tried.
     fn may_go_on(&self, response: &Response<Incoming>) -> bool {
         let signed = response.headers().contains_key(&self.relay.dialect.headers.signature);
-        !signed && !self.may_have_run && response.headers().contains_key(HANDED_OVER)
+        !signed && !self.may_have_run && is_handed_over(response.headers(), &self.relay.mark)
     }
 
     fn respond(mut self, response: Response<Incoming>, connection: Connection) -> RelayResponse {
