Take a refusal on a kept connection of the own interface only if it names the attempt

Bodies of refusals may now name request, stage and attempt, as the lines of answers do; without them a refusal counts only for runs with a fence, which have a connection of their own.

--- a/crates/coord/src/wire/endpoint.rs
+++ b/crates/coord/src/wire/endpoint.rs
@@ -52,6 +52,10 @@
     pub outcome: String,
     /// Whether the endpoint is cold and has less capacity than was assumed.
     pub cold: bool,
+    /// What it refuses. Without it a refusal on a kept connection proves nothing, as it may
+    /// be an old one.
+    #[serde(flatten)]
+    pub ident: Option<AttemptIdent>,
 }
 
 /// Asks an endpoint to cancel a run.
--- a/crates/daemon/src/endpoints/call.rs
+++ b/crates/daemon/src/endpoints/call.rs
@@ -127,6 +127,7 @@
 fn post_run(agents: &Agents, call: EndpointCall, inbox: &Inbox, gate: &SharedGate) -> AttemptEvent {
     let agent = if call.fence.is_some() { &agents.single_use } else { &agents.keep_alive };
     let (id, endpoint) = (call.ident.attempt, call.endpoint);
+    let (ident, is_single) = (call.ident.clone(), call.fence.is_some());
     let body = RunRequest {
         ident: call.ident,
         class: call.class,
@@ -154,7 +155,7 @@
     let reader = BufReader::new(response.into_body().into_reader());
     match status {
         StatusCode::OK => read_lines(id, reader, inbox),
-        StatusCode::SERVICE_UNAVAILABLE => read_refusal(reader),
+        StatusCode::SERVICE_UNAVAILABLE => read_refusal(reader, &ident, is_single),
         _ => failed(format!("the endpoint answered {status}")),
     }
 }
@@ -193,9 +194,15 @@
     }
 }
 
-fn read_refusal(reader: impl Read) -> AttemptEvent {
+/// Reads a refusal. One that doesn't name the attempt counts only on a connection of its
+/// own (`is_single`).
+fn read_refusal(reader: impl Read, ident: &AttemptIdent, is_single: bool) -> AttemptEvent {
     match serde_json::from_reader::<_, RefusalBody>(reader.take(MAX_LINE_BYTES)) {
-        Ok(it) if it.outcome == "not_run" => AttemptEvent::Refused { cold: it.cold },
+        Ok(it) if it.outcome == "not_run" => match it.ident {
+            Some(named) if named == *ident => AttemptEvent::Refused { cold: it.cold },
+            None if is_single => AttemptEvent::Refused { cold: it.cold },
+            _ => failed("the refusal doesn't name the attempt".to_owned()),
+        },
         _ => failed("the endpoint refused without saying that it began nothing".to_owned()),
     }
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -95,7 +95,8 @@
     let cancel = match stand_in.admit(&run) {
         Admission::Accepted { cancel } => cancel,
         Admission::Refused { cold } => {
-            let body = RefusalBody { outcome: "not_run".to_owned(), cold };
+            let ident = Some(run.ident);
+            let body = RefusalBody { outcome: "not_run".to_owned(), cold, ident };
             return Ok(json(StatusCode::SERVICE_UNAVAILABLE, &body));
         }
     };
