Untangle the files of hand-over

The mark of handed-over requests has a file of its own, hop-by-hop headers are stripped where they are defined, and the watch of links takes a view instead of the relay, so that no two of the new files import each other.

--- a/crates/coord/src/streams/mod.rs
+++ b/crates/coord/src/streams/mod.rs
@@ -18,6 +18,6 @@
     stream_history::{PastUse, StreamHistory},
     stream_id::{StreamId, StreamIdError},
     stream_intake::StreamIntake,
-    stream_ledger::{MAX_BATCH, StreamLedger},
+    stream_ledger::StreamLedger,
     stream_origin::StreamOrigin,
 };
--- a/crates/coord/src/streams/stream_ledger.rs
+++ b/crates/coord/src/streams/stream_ledger.rs
@@ -11,7 +11,7 @@
 };
 
 /// The most records in one message.
-pub const MAX_BATCH: usize = 512;
+const MAX_BATCH: usize = 512;
 /// How long after its end a stream that broke off may still be recorded. Callers take
 /// streams up within seconds.
 const KEEP_TIME: Millis = Millis(30_000);
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -10,8 +10,8 @@
         hand_over::HandOver,
         record::{RequestRecord, join_parts},
         relay::Relay,
-        request::{RelayRequest, connection_options},
-        response::{Denial, RelayResponse, deny, full_body, is_hop_by_hop, stream_body},
+        request::RelayRequest,
+        response::{Denial, RelayResponse, deny, full_body, stream_body, strip_hop_by_hop},
         stages::StageResults,
         stream::{RelayBody, StreamGuards},
         upstream::{Lease, SendError},
@@ -471,14 +471,3 @@
         not_run_statuses.contains(&status) || status.is_informational() || status.is_redirection();
     improper.then_some(Reply::Improper("the status may not be forwarded"))
 }
-
-/// Removes headers that apply only to the connection to the endpoint.
-pub fn strip_hop_by_hop(head: &mut Parts) {
-    let options = connection_options(&head.headers);
-    let names: Vec<_> = head.headers.keys().cloned().collect();
-    for name in names {
-        if is_hop_by_hop(&name) || options.contains(&name) {
-            head.headers.remove(&name);
-        }
-    }
-}
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -4,7 +4,8 @@
     super::{
         DrainPhase, PieceError,
         forward::{Forward, RETRY_AFTER_TRIAL},
-        hand_over::{HANDED_OVER, HandOver, RETRY_AFTER_CUT, is_handed_over},
+        hand_over::{HandOver, RETRY_AFTER_CUT},
+        hand_over_mark::{HANDED_OVER, is_handed_over},
         record::RequestRecord,
         relay::Relay,
         request::RelayRequest,
--- a/crates/daemon/src/relay/hand_over.rs
+++ b/crates/daemon/src/relay/hand_over.rs
@@ -5,46 +5,30 @@
 
 use {
     super::{
+        hand_over_mark::{HANDED_OVER, is_handed_over},
         handed_body::HandedBody,
         record::RequestRecord,
         relay::Relay,
         request::RelayRequest,
-        response::{Denial, RelayResponse, add_request_id, deny, handed_body},
+        response::{Denial, RelayResponse, add_request_id, deny, handed_body, strip_hop_by_hop},
         upstream::{Connection, connect},
     },
     coord::{relay::entry_addrs, time::Millis},
     http_body_util::Full,
     hyper::{
-        HeaderMap, Request, Response, StatusCode,
+        Request, Response, StatusCode,
         body::{Bytes, Incoming},
-        header::{HeaderName, HeaderValue},
     },
     rand::seq::SliceRandom,
-    sha2::{Digest, Sha256},
     std::{net::SocketAddr, rc::Rc},
     tokio::time::timeout_at,
 };
 
-/// Marks a request that another instance hands over; its value shows that it comes from
-/// one.
-pub const HANDED_OVER: HeaderName = HeaderName::from_static("mangobend-handed-over");
 /// The most instances that are tried for a request.
 const MAX_HELPERS: usize = 3;
 /// `Retry-After` while no instance reaches endpoints: about the time between two looks.
 pub const RETRY_AFTER_CUT: Millis = Millis(500);
 
-/// The value of the header by which instances of one system know each other.
-pub fn hand_over_mark(secret: &str) -> HeaderValue {
-    let digest = Sha256::digest([b"hand over ", secret.as_bytes()].concat());
-    let text: String = digest.iter().map(|it| format!("{it:02x}")).collect();
-    HeaderValue::from_str(&text).expect("hexadecimal digits are valid")
-}
-
-/// Whether another instance has handed a request over.
-pub fn is_handed_over(headers: &HeaderMap, mark: &HeaderValue) -> bool {
-    headers.get(&HANDED_OVER) == Some(mark)
-}
-
 /// A request that this instance can't serve.
 pub struct HandOver {
     pub relay: Rc<Relay>,
@@ -138,7 +122,7 @@
         !signed && !self.may_have_run && is_handed_over(response.headers(), &self.relay.mark)
     }
 
-    fn respond(mut self, response: Response<Incoming>, connection: Connection) -> RelayResponse {
+    fn respond(self, response: Response<Incoming>, connection: Connection) -> RelayResponse {
         let (mut head, body) = response.into_parts();
         let refusals = [
             StatusCode::SERVICE_UNAVAILABLE,
@@ -149,9 +133,8 @@
         if self.may_have_run && refusals.contains(&head.status) {
             return self.deny(Denial::Unknown);
         }
-        super::forward::strip_hop_by_hop(&mut head);
+        strip_hop_by_hop(&mut head);
         head.headers.remove(HANDED_OVER);
-        self.record.set_handed_over();
         let deadline = self.request.deadline;
         let body = HandedBody::new(body, connection, deadline, self.record);
         Response::from_parts(head, handed_body(body))
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod framing;
 mod front;
 mod hand_over;
+mod hand_over_mark;
 mod handed_body;
 mod notices;
 mod pieces;
--- a/crates/daemon/src/relay/reach_watch.rs
+++ b/crates/daemon/src/relay/reach_watch.rs
@@ -1,7 +1,7 @@
 //! Tries connections to endpoints when there are signs that this instance reaches none.
 
 use {
-    super::{clock::time_since, relay::Relay},
+    super::{clock::time_since, view::View},
     crate::event::{Event, Inbox},
     coord::{ids::NodeId, relay::Reach, time::Time},
     indexmap::IndexSet,
@@ -83,7 +83,7 @@
     }
 
     /// Tries connections whenever there is a reason, until the process ends.
-    pub async fn run(self: Rc<Self>, relay: Rc<Relay>) {
+    pub async fn run(self: Rc<Self>, view: impl Fn() -> Rc<View>) {
         let mut ticks = interval(LOOK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -91,7 +91,7 @@
             if !self.reach.borrow().wants_try(self.now()) {
                 continue;
             }
-            let reached = self.try_endpoints(&relay).await;
+            let reached = self.try_endpoints(&view()).await;
             let changed = self.reach().finish_try(&reached);
             if let Some(is_cut) = changed {
                 let count = reached.iter().filter(|it| **it).count();
@@ -106,8 +106,7 @@
         }
     }
 
-    async fn try_endpoints(&self, relay: &Relay) -> Vec<bool> {
-        let view = relay.view();
+    async fn try_endpoints(&self, view: &View) -> Vec<bool> {
         let targets: Vec<SocketAddr> = {
             let endpoints = view.all_endpoints();
             let targets =
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -89,11 +89,6 @@
         self.framing = Some(framing);
     }
 
-    /// Notes that another instance answers.
-    pub fn set_handed_over(&mut self) {
-        self.framing = None;
-    }
-
     /// Counts response bytes; the first call sets the time to the first byte.
     pub fn add_bytes(&mut self, bytes: usize) {
         self.first.get_or_insert_with(Instant::now);
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -4,7 +4,7 @@
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
         batcher::Batchers, batcher_clients::BatcherClients, buffers::Buffers, clock::time_since,
-        crash_watch::CrashWatch, hand_over::hand_over_mark, notices::Notices,
+        crash_watch::CrashWatch, hand_over_mark::hand_over_mark, notices::Notices,
         reach_watch::ReachWatch, record::SeriesLabels, request::RelayRequest,
         stream_recorder::StreamRecorder, upstream::Upstream, view::View,
     },
@@ -165,7 +165,8 @@
         tokio::task::spawn_local(relay.clone().watch_tables(tables));
         tokio::task::spawn_local(relay.batchers.clone().serve(batcher_events));
         tokio::task::spawn_local(relay.clone().sweep());
-        tokio::task::spawn_local(relay.reach.clone().run(relay.clone()));
+        let source = relay.clone();
+        tokio::task::spawn_local(relay.reach.clone().run(move || source.view()));
         relay
     }
 
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         Handle, HeaderNames,
-        hand_over::HANDED_OVER,
+        hand_over_mark::HANDED_OVER,
         response::{Denial, is_hop_by_hop},
         view::View,
     },
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -1,13 +1,18 @@
 //! Responses to callers.
 
 use {
-    super::{handed_body::HandedBody, request::RelayRequest, stream::RelayBody},
+    super::{
+        handed_body::HandedBody,
+        request::{RelayRequest, connection_options},
+        stream::RelayBody,
+    },
     coord::time::Millis,
     http_body_util::{Either, Full},
     hyper::{
         Response, StatusCode,
         body::Bytes,
         header::{CONNECTION, CONTENT_TYPE, HeaderName, RETRY_AFTER},
+        http::response,
     },
 };
 
@@ -152,3 +157,15 @@
         response.headers_mut().insert(name, value);
     }
 }
+
+/// Removes headers that apply only to the connection to an endpoint or another
+/// instance.
+pub fn strip_hop_by_hop(head: &mut response::Parts) {
+    let options = connection_options(&head.headers);
+    let names: Vec<_> = head.headers.keys().cloned().collect();
+    for name in names {
+        if is_hop_by_hop(&name) || options.contains(&name) {
+            head.headers.remove(&name);
+        }
+    }
+}
