Try links to endpoints less often while they are slow

An instance with few requests waited 0.7 s for an answer now and then, as a long prompt takes, and opened five connections each time. New connections are priced, so it waits 1.5 s; a cut is still noticed within 3 s (reach.rs passes), as new connections that fail are noticed at once.

--- a/crates/coord/src/relay/reach.rs
+++ b/crates/coord/src/relay/reach.rs
@@ -18,7 +18,7 @@
 const TRY_INTERVAL: Millis = Millis(400);
 /// How long no endpoint may answer while requests wait for one before connections are
 /// tried: connections that went silent report no failure for seconds.
-const QUIET_TIME: Millis = Millis(700);
+const QUIET_TIME: Millis = Millis(1500);
 
 /// What an instance knows of its links to endpoints.
 #[derive(Debug, Default)]
