Keep connections open for longer when links to endpoints are tried

It waits 250 ms now. Ruled out: the longer wait for answers (the tries were made) and the untangled files.

--- a/crates/daemon/src/relay/reach_watch.rs
+++ b/crates/daemon/src/relay/reach_watch.rs
@@ -25,7 +25,7 @@
 /// How long a connection may take; as long as one for a request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a connection has to stay open: a link that is cut may close it at once.
-const OPEN_TIME: Duration = Duration::from_millis(60);
+const OPEN_TIME: Duration = Duration::from_millis(250);
 
 /// Whether this instance, and which of the others, reach endpoints.
 pub struct ReachWatch {
