Keep the leader's work for a renewal independent of the number of instances

Each renewal to a new leader registered a holder, which divided all shares anew; each look at a renewal searched all holders for each member of the roster (may_raise), copied all endpoints with the sum over all holders of each (capacities, granted), and walked all bounds (confirm).

Change: sums of bounds, who hasn't reported, and what is queued are kept instead of searched; bounds are kept by holder; a division waits for its size, also when holders have changed; pools that no route uses aren't divided; an instance that has just got news waits for the next (1 ms an instance), the first news is told at once; heartbeats are sent between renewals, and timers run after 32 events instead of 256. A list of shares is sent in the order of names.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -4,11 +4,12 @@
 use {
     super::{Completion, ProposalError, ShareHolder, Voter, shares::EndpointCapacity},
     crate::{
-        ids::NodeId,
+        ids::{NodeId, PoolName},
         raft::HEARTBEAT_INTERVAL,
         tables::{Command, SuspectKey},
         time::{Millis, Time},
     },
+    indexmap::IndexSet,
     std::net::SocketAddr,
 };
 
@@ -64,7 +65,11 @@
         }
     }
 
+    /// Allocates shares, if that is due.
     pub(super) fn allocate(&mut self, now: Time) {
+        if !self.shares.needs_allocation(now) {
+            return;
+        }
         let endpoints = self.capacities(now);
         let live = self.shares.holders().filter(|it| self.is_live(*it, now)).collect();
         self.shares.allocate(now, &endpoints, &live);
@@ -75,8 +80,12 @@
         row.is_some_and(|it| it.incarnation == holder.incarnation && now < it.until)
     }
 
-    pub(super) fn capacities(&self, now: Time) -> Vec<EndpointCapacity> {
-        let endpoints = self.state.tables.endpoints.values();
+    /// The endpoints of the pools that some route uses. Relayed requests need no shares.
+    fn capacities(&self, now: Time) -> Vec<EndpointCapacity> {
+        let tables = &self.state.tables;
+        let stages = tables.routes.values().flat_map(|it| &it.stages);
+        let used: IndexSet<&PoolName> = stages.map(|it| &it.pool).collect();
+        let endpoints = tables.endpoints.values().filter(|it| used.contains(&it.pool));
         endpoints
             .map(|it| EndpointCapacity {
                 name: it.name.clone(),
--- a/crates/coord/src/control/leases.rs
+++ b/crates/coord/src/control/leases.rs
@@ -57,6 +57,12 @@
         self.rows.get(&id)
     }
 
+    /// Returns when the lease of an instance was last granted in this term.
+    pub fn granted_at(&self, id: NodeId) -> Option<Time> {
+        let length = LEASE_DURATION + LEASE_MARGIN;
+        self.rows.get(&id).map(|it| Time(it.until.0.saturating_sub(length.0)))
+    }
+
     /// Removes the row of an instance that has released its lease.
     pub fn remove(&mut self, id: NodeId) {
         self.rows.shift_remove(&id);
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -4,16 +4,21 @@
     super::{
         Completion, EndpointReport, Grants, Holding, LEASE_DURATION, LEASE_MARGIN, LeaseRow,
         RenewError, RenewReply, RenewRequest, ShareHolder, Token, Update, Voter,
-        shares::EndpointCapacity, voter::Renewal,
+        voter::{Renewal, Revisions, Told},
     },
     crate::{
-        ids::{Index, NodeId, Slots},
-        limits::{LimitListUpdate, LimitReply},
+        ids::{EndpointName, Index, NodeId, Slots},
+        limits::LimitReply,
         raft::Role,
         time::{Millis, Time},
     },
 };
 
+/// What each instance in the roster adds to the least time between two replies with news to
+/// the same one. Replies to all instances thus take the same part of the leader's time
+/// however many there are.
+const NEWS_GAP_PER_INSTANCE: Millis = Millis(1);
+
 impl Voter {
     /// Checks whether this voter can answer a renewal of the sender now.
     pub(super) fn check_renewal(
@@ -80,6 +85,7 @@
     /// earlier leader.
     fn restore_shares(&mut self, holder: ShareHolder, number: u64, held: &[Holding]) {
         self.shares.register(holder, number, held);
+        self.unreported.swap_remove(&holder.node);
         for it in held {
             if let Some(endpoint) = self.state.tables.endpoints.get(&it.endpoint) {
                 let sum = Slots(self.shares.granted(&it.endpoint));
@@ -102,49 +108,52 @@
         ));
     }
 
-    /// Answers the delayed renewals that are due, or all of them if the shares or
-    /// the tables have changed.
+    /// Answers the delayed renewals that are due or whose senders there is news for.
     pub(super) fn answer_renewals(&mut self, now: Time) {
-        if self.renewals.is_empty() {
-            return;
-        }
-        let (suspects, cut) = self.news();
-        let state = (self.shares.revision(), suspects, cut, self.feed.last());
-        let changed = self.last_answered != state;
-        self.last_answered = state;
-        let due = |it: &Renewal| changed || now >= it.deadline || self.has_limit_news(now, it);
-        let nodes = self.renewals.iter().filter(|(_, it)| due(it)).map(|(node, _)| *node);
-        let nodes: Vec<NodeId> = nodes.collect();
-        if nodes.is_empty() {
-            return;
-        }
-        let endpoints = self.capacities(now);
+        let revisions = self.revisions();
+        let due = |(node, it): &(&NodeId, &Renewal)| {
+            now >= it.deadline
+                || self.limits.has_grants(holder_of(&it.request))
+                || (it.seen != revisions || self.has_limit_news(it))
+                    && !self.is_held_back(now, **node)
+        };
+        let nodes: Vec<NodeId> = self.renewals.iter().filter(due).map(|(node, _)| *node).collect();
         for node in nodes {
-            self.answer_renewal(now, node, &endpoints);
+            self.answer_renewal(now, node);
         }
     }
 
+    /// Whether an instance got news so shortly ago that more has to wait.
+    fn is_held_back(&self, now: Time, node: NodeId) -> bool {
+        let gap = Millis(self.state.tables.roster.len() as u64 * NEWS_GAP_PER_INSTANCE.0);
+        let told_at = self.told.get(&node).and_then(|it| it.at);
+        told_at.is_some_and(|at| now < at + gap)
+    }
+
     /// Answers one renewal if it is due or there is something new for its sender.
-    pub(super) fn answer_renewal(
-        &mut self,
-        now: Time,
-        node: NodeId,
-        endpoints: &[EndpointCapacity],
-    ) {
+    pub(super) fn answer_renewal(&mut self, now: Time, node: NodeId) {
         if self.raft.lease().is_none_or(|it| it <= now) {
             let it = self.renewals.shift_remove(&node).expect("the renewal is pending");
             let err = Err(RenewError::NotReady);
             self.completions.push(Completion::Renewal(it.token, Box::new(err)));
             return;
         }
-        let it = &self.renewals[&node];
+        let revisions = self.revisions();
+        let is_held_back = self.is_held_back(now, node);
+        let it = &mut self.renewals[&node];
         let holder = holder_of(&it.request);
         let known = self.shares.contains(holder);
-        let mut grants = if known && self.may_raise(now) {
-            self.shares.next_grants(holder, endpoints)
-        } else {
-            None
-        };
+        let is_due = now >= it.deadline || !known || self.limits.has_grants(holder);
+        if is_held_back && !is_due {
+            return;
+        }
+        it.seen = revisions;
+        let it = &self.renewals[&node];
+        let mut grants = None;
+        if known && self.may_raise(now) {
+            let allowed = |name: &EndpointName| self.endpoints.allowed(name, now);
+            grants = self.shares.next_grants(holder, allowed);
+        }
         if grants.is_none()
             && known
             && it.request.grants_number != self.shares.grants_number(holder)
@@ -152,10 +161,10 @@
             grants = self.shares.last_grants(holder);
         }
         let has_update = it.request.applied < self.feed.last() || it.request.applied == Index(0);
-        let first = self.leases.get(node).is_none_or(|row| row.until <= now + LEASE_DURATION);
         let told = self.told.get(&node).copied().unwrap_or_default();
-        let news = self.has_limit_news(now, it) || told != self.news();
-        if grants.is_none() && !has_update && !first && known && !news && now < it.deadline {
+        let news = self.has_limit_news(it) || told.revisions != self.news();
+        let told_at = if grants.is_some() || has_update || news { Some(now) } else { told.at };
+        if grants.is_none() && !has_update && known && !news && now < it.deadline {
             return;
         }
         let it = self.renewals.shift_remove(&node).expect("the renewal is pending");
@@ -166,7 +175,7 @@
             version: it.request.version,
         };
         self.leases.grant(now, node, row);
-        self.told.insert(node, self.news());
+        self.told.insert(node, Told { revisions: self.news(), at: told_at });
         let mut reply = self.reply(&it.request, grants);
         let held = now.since(it.received);
         reply.limits = it.request.limits.as_ref().map(|limits| LimitReply {
@@ -180,9 +189,7 @@
     /// Divides sends to limited endpoints among the instances whose renewals wait for a
     /// reply.
     pub(super) fn grant_sends(&mut self, now: Time) {
-        let reported = |id: &NodeId| self.shares.holders().any(|it| it.node == *id);
-        let roster = &self.state.tables.roster;
-        let is_ready = self.limits.check_ready(now, || roster.keys().all(reported));
+        let is_ready = self.limits.check_ready(now, || self.unreported.is_empty());
         if !is_ready || self.raft.lease().is_none_or(|it| it <= now) {
             return;
         }
@@ -193,14 +200,18 @@
     }
 
     /// Whether there is something new about limits for the sender of a renewal.
-    fn has_limit_news(&self, now: Time, renewal: &Renewal) -> bool {
+    fn has_limit_news(&self, renewal: &Renewal) -> bool {
         let Some(limits) = &renewal.request.limits else {
             return false;
         };
         let holder = holder_of(&renewal.request);
         let known = self.shares.contains(holder);
-        let update = self.limits.list_update(now, limits.list, known);
-        self.limits.has_grants(holder) || matches!(update, LimitListUpdate::New(_))
+        self.limits.has_grants(holder) || self.limits.has_new_list(limits.list, known)
+    }
+
+    fn revisions(&self) -> Revisions {
+        let (suspects, cut) = self.news();
+        Revisions { shares: self.shares.revision(), suspects, cut, last: self.feed.last() }
     }
 
     /// The revisions of what all instances are told.
@@ -251,8 +262,7 @@
     /// reported its shares, or shares that weren't reported can no longer be in use.
     fn may_raise(&self, now: Time) -> bool {
         let settled = self.raft.leader_since() + LEASE_DURATION + LEASE_MARGIN + self.drain_time();
-        let reported = |id: &NodeId| self.shares.holders().any(|it| it.node == *id);
-        now >= settled || self.state.tables.roster.keys().all(reported)
+        now >= settled || self.unreported.is_empty()
     }
 }
 
--- a/crates/coord/src/control/shares.rs
+++ b/crates/coord/src/control/shares.rs
@@ -20,7 +20,7 @@
 /// The minimum time between two allocations by demand.
 const MIN_ALLOCATION_INTERVAL: Millis = Millis(50);
 /// The pairs of instance and endpoint that add one millisecond to the time between
-/// two allocations by demand, so that a large system doesn't allocate constantly.
+/// two allocations, so that a large system doesn't allocate constantly.
 const PAIRS_PER_MS: u64 = 1000;
 
 /// One run of an instance, as a holder of shares.
@@ -38,6 +38,8 @@
     sent: IndexMap<EndpointName, u32>,
     /// The shares that the latest allocation assigns to the holder.
     target: IndexMap<EndpointName, u32>,
+    /// The largest share that the holder may still use, by endpoint.
+    bounds: IndexMap<EndpointName, u32>,
     demand: IndexMap<PoolName, Demand>,
 }
 
@@ -53,10 +55,18 @@
 #[derive(Debug, Default)]
 pub struct ShareTable {
     holders: IndexMap<ShareHolder, HolderRow>,
-    /// The largest share that each holder may still use.
-    bounds: IndexMap<EndpointName, IndexMap<ShareHolder, u32>>,
+    /// The holders of each instance.
+    nodes: IndexMap<NodeId, u32>,
+    /// The sum of the bounds of all holders, by endpoint.
+    granted: IndexMap<EndpointName, u32>,
     last_allocation: Option<Time>,
+    /// The pairs of instance and endpoint in the last allocation.
+    pairs: u64,
     changed: bool,
+    /// The requests queued at all holders.
+    queued: u64,
+    /// The allocations so far.
+    allocations: u64,
     /// Increases whenever the next list of some holder may differ from its latest.
     revision: u64,
 }
@@ -67,54 +77,70 @@
         self.holders.contains_key(&holder)
     }
 
+    /// Whether some run of an instance has reported its shares to this leader.
+    pub fn contains_node(&self, node: NodeId) -> bool {
+        self.nodes.contains_key(&node)
+    }
+
     /// Registers a holder with all shares that it holds.
     pub fn register(&mut self, holder: ShareHolder, number: u64, held: &[Holding]) {
+        if !self.holders.contains_key(&holder) {
+            *self.nodes.entry(holder.node).or_default() += 1;
+        }
         let row = self.holders.entry(holder).or_default();
         row.number = row.number.max(number);
         for it in held {
             row.sent.insert(it.endpoint.clone(), it.slots.0);
-            let bound = self.bounds.entry(it.endpoint.clone()).or_default();
-            bound.insert(holder, it.slots.0);
+            row.set_bound(&mut self.granted, &it.endpoint, it.slots.0);
         }
         self.changed = true;
     }
 
     /// Returns the sum of the bounds of all holders at an endpoint.
     pub fn granted(&self, name: &EndpointName) -> u32 {
-        self.bounds.get(name).map_or(0, |it| it.values().sum())
+        self.granted.get(name).copied().unwrap_or(0)
     }
 
     /// Lowers the bounds of a holder that has applied its latest list. `excess` has the
     /// requests in flight at the endpoints where they exceed the list.
     pub fn confirm(&mut self, holder: ShareHolder, number: u64, excess: &[Holding]) {
-        let Some(row) = self.holders.get(&holder).filter(|it| it.number == number) else {
+        let Some(row) = self.holders.get_mut(&holder).filter(|it| it.number == number) else {
             return;
         };
-        for (name, bound) in &mut self.bounds {
+        let in_flight: IndexMap<&EndpointName, u32> =
+            excess.iter().map(|it| (&it.endpoint, it.slots.0)).collect();
+        let names: IndexSet<EndpointName> =
+            row.bounds.keys().chain(in_flight.keys().copied()).cloned().collect();
+        for name in &names {
             let listed = row.sent.get(name).copied().unwrap_or(0);
-            let in_flight =
-                excess.iter().find(|it| it.endpoint == *name).map_or(0, |it| it.slots.0);
-            let held = listed.max(in_flight);
-            let before = match held {
-                0 => bound.shift_remove(&holder),
-                held => bound.insert(holder, held),
-            };
-            self.revision += u64::from(before.unwrap_or(0) > held);
+            let held = listed.max(in_flight.get(name).copied().unwrap_or(0));
+            let before = row.set_bound(&mut self.granted, name, held);
+            self.revision += u64::from(before > held);
         }
     }
 
     /// Sets the demand of a holder.
     pub fn set_demand(&mut self, holder: ShareHolder, demand: &[Demand]) {
         if let Some(row) = self.holders.get_mut(&holder) {
+            self.queued -= row.queued();
             row.demand = demand.iter().map(|it| (it.pool.clone(), it.clone())).collect();
+            self.queued += row.queued();
         }
     }
 
     /// Removes a holder whose lease and requests are certain to have ended.
     pub fn remove(&mut self, holder: ShareHolder) {
-        self.holders.shift_remove(&holder);
-        for bound in self.bounds.values_mut() {
-            bound.shift_remove(&holder);
+        let Some(mut row) = self.holders.shift_remove(&holder) else {
+            return;
+        };
+        self.queued -= row.queued();
+        for name in row.bounds.keys().cloned().collect::<Vec<_>>() {
+            row.set_bound(&mut self.granted, &name, 0);
+        }
+        let count = self.nodes.get_mut(&holder.node).expect("each holder is counted");
+        *count -= 1;
+        if *count == 0 {
+            self.nodes.swap_remove(&holder.node);
         }
         self.changed = true;
     }
@@ -123,11 +149,11 @@
     /// the holder has stopped using the share by itself. The list gets a new number,
     /// so that a confirmation of the earlier one frees nothing.
     pub fn revoke(&mut self, name: &EndpointName, of: Option<ShareHolder>) {
-        for (holder, row) in &mut self.holders {
-            let matches = of.is_none_or(|it| it == *holder);
-            if matches && row.sent.shift_remove(name).is_some() {
-                row.number += 1;
+        match of {
+            Some(holder) => {
+                self.holders.get_mut(&holder).into_iter().for_each(|it| it.revoke(name))
             }
+            None => self.holders.values_mut().for_each(|it| it.revoke(name)),
         }
         self.changed = true;
     }
@@ -148,23 +174,31 @@
         self.holders.keys().copied()
     }
 
-    /// Allocates the endpoints among the live holders, if endpoints or holders have
-    /// changed or requests are queued and the last allocation is old enough.
+    /// Returns the number of allocations so far.
+    pub fn allocations(&self) -> u64 {
+        self.allocations
+    }
+
+    /// Whether endpoints or holders have changed or requests are queued, and the last
+    /// allocation is old enough for its size.
+    pub fn needs_allocation(&self, now: Time) -> bool {
+        let gap = self.pairs / PAIRS_PER_MS;
+        let age = self.last_allocation.map(|it| now.since(it));
+        let is_older = |gap: u64| age.is_none_or(|it| it >= Millis(gap));
+        self.changed && is_older(gap)
+            || self.queued > 0 && is_older(MIN_ALLOCATION_INTERVAL.0 + gap)
+    }
+
+    /// Allocates the endpoints among the live holders.
     pub fn allocate(
         &mut self,
         now: Time,
         endpoints: &[EndpointCapacity],
         live: &IndexSet<ShareHolder>,
     ) {
-        let pairs = (live.len() * endpoints.len()) as u64;
-        let gap = Millis(MIN_ALLOCATION_INTERVAL.0 + pairs / PAIRS_PER_MS);
-        let due = self.last_allocation.is_none_or(|it| now.since(it) >= gap);
-        let queued = self.holders.values().any(|row| row.demand.values().any(|it| it.queued > 0));
-        let needed = self.changed || due && queued;
-        if !needed {
-            return;
-        }
+        self.pairs = (live.len() * endpoints.len()) as u64;
         self.changed = false;
+        self.allocations += 1;
         self.revision += 1;
         self.last_allocation = Some(now);
         for row in self.holders.values_mut() {
@@ -174,36 +208,39 @@
         for it in endpoints.iter().filter(|it| it.allowed > Slots(0)) {
             pools.entry(&it.pool).or_default().push(it);
         }
+        let ranks = live.iter().map(|it| (*it, hash(it))).collect();
         for (pool, members) in pools {
-            self.allocate_pool(pool, &members, live);
+            self.allocate_pool(pool, &members, &ranks);
         }
-        let names: IndexSet<&EndpointName> = endpoints.iter().map(|it| &it.name).collect();
-        self.bounds.retain(|name, bound| names.contains(name) || !bound.is_empty());
     }
 
     /// Returns the next share list of a holder, if it differs from the latest one.
-    /// A share is raised only by what is free now.
+    /// `allowed` returns the number of requests that an endpoint may be given now. A share
+    /// is raised only by what is free.
     pub fn next_grants(
         &mut self,
         holder: ShareHolder,
-        endpoints: &[EndpointCapacity],
+        allowed: impl Fn(&EndpointName) -> Slots,
     ) -> Option<Grants> {
+        let row = self.holders.get_mut(&holder)?;
         let mut next = IndexMap::new();
-        for it in endpoints {
-            let slots = self.grantable(holder, it);
+        for (name, target) in &row.target {
+            let own = row.bounds.get(name).copied().unwrap_or(0);
+            let granted = self.granted.get(name).copied().unwrap_or(0);
+            let allowed = allowed(name).0;
+            let slots = (*target).min(allowed).min(own + allowed.saturating_sub(granted));
             if slots > 0 {
-                next.insert(it.name.clone(), slots);
+                next.insert(name.clone(), slots);
             }
         }
-        let row = self.holders.get_mut(&holder)?;
         if row.number > 0 && next == row.sent {
             return None;
         }
         row.number += 1;
         row.sent = next;
-        for (name, slots) in &row.sent {
-            let bound = self.bounds.entry(name.clone()).or_default().entry(holder).or_default();
-            *bound = (*bound).max(*slots);
+        for (name, slots) in row.sent.clone() {
+            let bound = row.bounds.get(&name).copied().unwrap_or(0);
+            row.set_bound(&mut self.granted, &name, bound.max(slots));
         }
         Some(row.grants())
     }
@@ -218,51 +255,64 @@
         self.holders.get(&holder).map_or(0, |it| it.number)
     }
 
-    /// Returns the share that a holder can be granted now.
-    fn grantable(&self, holder: ShareHolder, endpoint: &EndpointCapacity) -> u32 {
-        let row = &self.holders[&holder];
-        let target = row.target.get(&endpoint.name).copied().unwrap_or(0);
-        let bound = self.bounds.get(&endpoint.name);
-        let own = bound.and_then(|it| it.get(&holder)).copied().unwrap_or(0);
-        let free = endpoint.allowed.0.saturating_sub(self.granted(&endpoint.name));
-        target.min(own + free)
-    }
-
     /// Assigns the slots of a pool: first to their current holders, up to the quota
     /// of each, then one by one in the order of the largest remaining quotas.
     fn allocate_pool(
         &mut self,
         pool: &PoolName,
         members: &[&EndpointCapacity],
-        live: &IndexSet<ShareHolder>,
+        live: &IndexMap<ShareHolder, u64>,
     ) {
         let mut quotas = self.quotas(pool, members, live);
-        let mut remaining: Vec<u32> = members.iter().map(|it| it.allowed.0).collect();
-        for (endpoint, remaining) in members.iter().zip(&mut remaining) {
-            for (holder, quota) in &mut quotas {
-                let row = self.holders.get_mut(holder).expect("a live holder is registered");
-                let kept = row.sent.get(&endpoint.name).copied().unwrap_or(0);
-                row.assign(&endpoint.name, kept, quota, remaining);
+        let mut remaining: IndexMap<&EndpointName, u32> =
+            members.iter().map(|it| (&it.name, it.allowed.0)).collect();
+        for (holder, quota) in &mut quotas {
+            let row = self.holders.get_mut(holder).expect("a live holder is registered");
+            let kept: Vec<(EndpointName, u32)> =
+                row.sent.iter().map(|(name, slots)| (name.clone(), *slots)).collect();
+            for (name, slots) in kept {
+                if let Some(remaining) = remaining.get_mut(&name) {
+                    row.assign(&name, slots, quota, remaining);
+                }
             }
         }
-        for (endpoint, remaining) in members.iter().zip(&mut remaining) {
-            let mut order: Vec<(u32, u64, ShareHolder)> = quotas
-                .iter()
-                .filter(|(_, quota)| **quota > 0)
-                .map(|(holder, quota)| (*quota, rank(&endpoint.name, *holder), *holder))
-                .collect();
-            order.sort_unstable_by(|a, b| b.cmp(a));
-            while *remaining > 0 && !order.is_empty() {
-                order.retain(|(_, _, holder)| {
-                    let quota = &mut quotas[holder];
-                    let row = self.holders.get_mut(holder).expect("a live holder is registered");
-                    row.assign(&endpoint.name, 1, quota, remaining);
-                    *quota > 0
-                });
-            }
+        quotas.retain(|_, quota| *quota > 0);
+        for (name, remaining) in remaining.iter_mut().filter(|(_, it)| **it > 0) {
+            self.assign_remaining(name, remaining, &mut quotas, live);
         }
     }
 
+    /// Assigns the remaining slots of an endpoint one by one, in the order of the largest
+    /// remaining quotas.
+    fn assign_remaining(
+        &mut self,
+        name: &EndpointName,
+        remaining: &mut u32,
+        quotas: &mut IndexMap<ShareHolder, u32>,
+        live: &IndexMap<ShareHolder, u64>,
+    ) {
+        let seed = hash(name);
+        let mut order: Vec<(u32, u64, ShareHolder)> = quotas
+            .iter()
+            .map(|(holder, quota)| (*quota, mix(seed, live[holder]), *holder))
+            .collect();
+        let count = *remaining as usize;
+        if count < order.len() {
+            order.select_nth_unstable_by(count, |a, b| b.cmp(a));
+            order.truncate(count);
+        }
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        while *remaining > 0 && !order.is_empty() {
+            order.retain(|(_, _, holder)| {
+                let quota = &mut quotas[holder];
+                let row = self.holders.get_mut(holder).expect("a live holder is registered");
+                row.assign(name, 1, quota, remaining);
+                *quota > 0
+            });
+        }
+        quotas.retain(|_, quota| *quota > 0);
+    }
+
     /// Returns the number of slots of a pool for each live holder. One half is split
     /// evenly, the other by demand. With fewer slots than holders nearly all are
     /// split by demand.
@@ -270,20 +320,21 @@
         &self,
         pool: &PoolName,
         members: &[&EndpointCapacity],
-        live: &IndexSet<ShareHolder>,
+        live: &IndexMap<ShareHolder, u64>,
     ) -> IndexMap<ShareHolder, u32> {
         let total: u64 = members.iter().map(|it| u64::from(it.allowed.0)).sum();
         let count = live.len() as u64;
-        let demand: u64 = live.iter().map(|it| self.demand_weight(*it, pool)).sum();
+        let demand: u64 = live.keys().map(|it| self.demand_weight(*it, pool)).sum();
         let even = if total >= count { demand + count } else { 1 };
         let weight = |it: &ShareHolder| even + count * self.demand_weight(*it, pool);
-        let sum: u64 = live.iter().map(weight).sum();
+        let sum: u64 = live.keys().map(weight).sum();
         let mut remaining = total;
         let mut parts: Vec<(u64, u64, ShareHolder, u64)> = Vec::new();
-        for holder in live {
+        let seed = hash(pool);
+        for (holder, rank) in live {
             let exact = total * weight(holder);
             remaining -= exact / sum;
-            parts.push((exact % sum, rank(pool, *holder), *holder, exact / sum));
+            parts.push((exact % sum, mix(seed, *rank), *holder, exact / sum));
         }
         parts.sort_unstable_by(|a, b| b.cmp(a));
         let mut quotas = IndexMap::new();
@@ -304,6 +355,39 @@
 }
 
 impl HolderRow {
+    /// Sets the bound at an endpoint and returns the earlier one. `granted` has the sums
+    /// of all holders' bounds.
+    fn set_bound(
+        &mut self,
+        granted: &mut IndexMap<EndpointName, u32>,
+        name: &EndpointName,
+        bound: u32,
+    ) -> u32 {
+        let before = match bound {
+            0 => self.bounds.swap_remove(name),
+            _ => self.bounds.insert(name.clone(), bound),
+        };
+        let before = before.unwrap_or(0);
+        let sum = granted.get(name).copied().unwrap_or(0) - before + bound;
+        match sum {
+            0 => granted.swap_remove(name),
+            _ => granted.insert(name.clone(), sum),
+        };
+        before
+    }
+
+    fn queued(&self) -> u64 {
+        self.demand.values().map(|it| u64::from(it.queued)).sum()
+    }
+
+    /// Removes an endpoint from the latest list and from what the next may have.
+    fn revoke(&mut self, name: &EndpointName) {
+        if self.sent.shift_remove(name).is_some() {
+            self.number += 1;
+        }
+        self.target.shift_remove(name);
+    }
+
     /// Adds up to `slots` of an endpoint to the target, within the holder's quota and
     /// the endpoint's remaining slots.
     fn assign(&mut self, name: &EndpointName, slots: u32, quota: &mut u32, remaining: &mut u32) {
@@ -320,14 +404,24 @@
             endpoint: name.clone(),
             slots: Slots(*slots),
         };
-        Grants { number: self.number, shares: self.sent.iter().map(holding).collect() }
+        let mut shares: Vec<Holding> = self.sent.iter().map(holding).collect();
+        shares.sort_unstable_by(|a, b| a.endpoint.cmp(&b.endpoint));
+        Grants { number: self.number, shares }
     }
 }
 
-/// Returns the rank of a holder for an endpoint or pool by rendezvous hashing
-/// (Thaler and Ravishankar, 1998), so that ties are broken differently for each.
-fn rank(name: &impl Hash, holder: ShareHolder) -> u64 {
-    let mut hash = DefaultHasher::new();
-    (name, holder).hash(&mut hash);
-    hash.finish()
+/// Combines the hashes of a holder and of an endpoint or pool to a rank, by which ties are
+/// broken differently for each (rendezvous hashing; Thaler and Ravishankar, 1998). The
+/// constants are those of the finalizer of SplitMix64.
+fn mix(seed: u64, rank: u64) -> u64 {
+    let mut it = seed ^ rank;
+    it = (it ^ (it >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    it = (it ^ (it >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    it ^ (it >> 31)
+}
+
+fn hash(it: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    it.hash(&mut hasher);
+    hasher.finish()
 }
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        CrashEvidence, CutTable, EndpointStatus, EndpointTable, Feed, LONG_POLL, LeaseTable,
-        MemberStatus, RenewError, RenewReply, RenewRequest, ShareHolder, ShareTable, Status,
-        TeamTable, UpdateCounts, UpdateStats,
+        CrashEvidence, CutTable, EndpointStatus, EndpointTable, Feed, LEASE_MARGIN, LONG_POLL,
+        LeaseTable, MemberStatus, RenewError, RenewReply, RenewRequest, ShareHolder, ShareTable,
+        Status, TeamTable, UpdateCounts, UpdateStats,
     },
     crate::{
         ids::{Bytes, CatalogVersion, Index, NodeId, PoolName, Slots, Term, Version},
@@ -13,7 +13,7 @@
             Config, Entry, Message, Payload, ProposeError, Raft, RestoredState, Role, Snapshot,
         },
         streams::{StreamAnswer, StreamIntake, StreamQuery},
-        tables::{Command, Outcome, State, SuspectKey},
+        tables::{Command, Delta, Outcome, State, SuspectKey},
         time::Time,
     },
     indexmap::{IndexMap, IndexSet},
@@ -66,6 +66,27 @@
     pub(super) request: RenewRequest,
     pub(super) received: Time,
     pub(super) deadline: Time,
+    /// What there was to tell when it was last looked at.
+    pub(super) seen: Revisions,
+}
+
+/// What one instance was told last.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Told {
+    /// The revisions of the suspects and of the instances cut off.
+    pub(super) revisions: (u64, u64),
+    /// When it last got a reply with news.
+    pub(super) at: Option<Time>,
+}
+
+/// What a reply may have news of: the revisions of the shares, the suspects and the
+/// instances cut off, and the index of the last delta.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct Revisions {
+    pub(super) shares: u64,
+    pub(super) suspects: u64,
+    pub(super) cut: u64,
+    pub(super) last: Index,
 }
 
 /// One voter, without input and output: the embedder passes in messages and time,
@@ -80,9 +101,8 @@
     /// Who waits for the outcome of an entry, and the term in which it was proposed.
     pub(super) pending: IndexMap<Index, (Term, Vec<Token>)>,
     pub(super) renewals: IndexMap<NodeId, Renewal>,
-    /// The revisions of the shares, the suspects and the instances cut off, and the last
-    /// delta, when delayed renewals were last answered.
-    pub(super) last_answered: (u64, u64, u64, Index),
+    /// The instances in the roster that haven't reported to this leader.
+    pub(super) unreported: IndexSet<NodeId>,
     pub(super) leases: LeaseTable,
     pub(super) shares: ShareTable,
     pub(super) teams: TeamTable,
@@ -95,9 +115,8 @@
     pub(super) mixed: IndexSet<PoolName>,
     /// When the record of streams was last rotated, or this voter began to lead.
     pub(super) rotated_at: Time,
-    /// The revisions of the suspects and of the instances cut off that each instance was
-    /// told last.
-    pub(super) told: IndexMap<NodeId, (u64, u64)>,
+    /// What each instance was told last.
+    pub(super) told: IndexMap<NodeId, Told>,
     /// When this leader first saw each withheld suspect, or proposed to withhold it.
     pub(super) withheld_since: IndexMap<SuspectKey, Time>,
     /// When the leases of registered holders were found to have expired.
@@ -127,7 +146,7 @@
             update_stats: UpdateStats::default(),
             pending: IndexMap::new(),
             renewals: IndexMap::new(),
-            last_answered: (0, 0, 0, start),
+            unreported: IndexSet::new(),
             leases: LeaseTable::default(),
             shares: ShareTable::default(),
             teams: TeamTable::default(),
@@ -315,15 +334,24 @@
         }
         self.allocate(now);
         let node = request.node;
-        let deadline = now + LONG_POLL;
-        if let Some(old) =
-            self.renewals.insert(node, Renewal { token, request, received: now, deadline })
-        {
+        // An instance whose lease isn't fresh, or that has none, is answered at once.
+        let granted_at = self.leases.granted_at(node);
+        let is_fresh = granted_at.is_some_and(|at| now < at + LEASE_MARGIN);
+        let deadline = if is_fresh { now + LONG_POLL } else { now };
+        let renewal =
+            Renewal { token, request, received: now, deadline, seen: Revisions::default() };
+        if let Some(old) = self.renewals.insert(node, renewal) {
             self.completions
                 .push(Completion::Renewal(old.token, Box::new(Err(RenewError::Superseded))));
         }
-        let endpoints = self.capacities(now);
-        self.answer_renewal(now, node, &endpoints);
+        self.answer_renewal(now, node);
+        // Heartbeats must not wait until the renewals of all instances are handled.
+        self.raft.tick(now);
+    }
+
+    /// Returns the number of allocations of shares that this voter has made in its term.
+    pub fn allocations(&self) -> u64 {
+        self.shares.allocations()
     }
 
     /// Returns what a stream came from.
@@ -472,6 +500,7 @@
                 self.mixed = self.state.streams.mixed_pools(&self.state.tables);
             }
             if let Some(delta) = applied.delta {
+                self.update_unreported(&delta);
                 self.feed.push(entry.index, delta);
             }
         }
@@ -483,6 +512,19 @@
         changed
     }
 
+    /// Updates the instances that haven't reported after a change of the roster.
+    fn update_unreported(&mut self, delta: &Delta) {
+        match delta {
+            Delta::Member(it) if !self.shares.contains_node(it.id) => {
+                self.unreported.insert(it.id);
+            }
+            Delta::DropMember(id) => {
+                self.unreported.swap_remove(id);
+            }
+            _ => {}
+        }
+    }
+
     /// Resets the leader's tables when this voter starts or stops to lead.
     fn update_leadership(&mut self, now: Time) {
         let leads = self.raft.has_committed_in_term().then(|| self.raft.term());
@@ -492,6 +534,7 @@
         self.leading_term = leads;
         self.leases = LeaseTable::start(now);
         self.shares = ShareTable::default();
+        self.unreported = self.state.tables.roster.keys().copied().collect();
         self.teams = TeamTable::default();
         self.lease_ends.clear();
         self.limits = LimitTable::start(self.raft.term(), now);
--- a/crates/coord/src/limits/limit_table.rs
+++ b/crates/coord/src/limits/limit_table.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Whether [`Self::list_update`] returns a new list.
+    pub fn has_new_list(&self, held: u64, has_reported: bool) -> bool {
+        self.is_ready && has_reported && held != self.number
+    }
+
     /// Takes in what an instance reports. Of contradicting reports that of the latest
     /// answer counts.
     pub fn record(&mut self, now: Time, report: &LimitReport, tables: &Tables) {
--- /dev/null
+++ b/crates/coord/tests/large_fleets.rs
@@ -0,0 +1,371 @@
+//! What hundreds of instances cost their leader.
+
+use {
+    coord::{
+        control::{
+            Completion, Demand, Holding, RenewError, RenewReply, RenewRequest, Token, Update, Voter,
+        },
+        ids::{ChangeId, Generation, Incarnation, Index, NodeId, PoolName, Slots, Version},
+        limits::{LimitListUpdate, LimitRequest},
+        raft::{Config, ELECTION_TIMEOUT_MIN, Entry, HardState, LogOp, RestoredState},
+        tables::{
+            Change, Command, Edit, Endpoint, EndpointState, Member, Pool, PoolKind, Route, Stage,
+        },
+        time::{Millis, Time, WallTime},
+    },
+    std::{fs, time::Duration},
+};
+
+/// The leader's own number among the instances.
+const LEADER: usize = 0;
+const POOLS: usize = 5;
+/// Simulated time per step, and of a message each way.
+const STEP: Millis = Millis(5);
+/// The share of a core that a control node has in the deployments.
+const CORES: f64 = 0.6;
+
+/// The part of the election timeout that one step of a leader may take.
+fn longest_step() -> Duration {
+    Duration::from_secs_f64(ELECTION_TIMEOUT_MIN.0 as f64 / 1000.0 / 10.0 * CORES)
+}
+
+/// The time for which this thread has run on a processor.
+fn thread_time() -> Duration {
+    let stat = fs::read_to_string("/proc/thread-self/schedstat").expect("Linux reports it");
+    let run = stat.split_whitespace().next().expect("the time on a processor comes first");
+    Duration::from_nanos(run.parse().expect("it is a number"))
+}
+
+fn addr(number: usize) -> std::net::SocketAddr {
+    ([10, 0, (number >> 8) as u8, number as u8], 7000).into()
+}
+
+fn pool(number: usize) -> PoolName {
+    format!("pool{}", number % POOLS).parse().expect("a name")
+}
+
+fn member(number: usize) -> Command {
+    Command::Join(Member {
+        id: NodeId(number as u64 + 1),
+        name: format!("n{number}").parse().expect("a name"),
+        domain: format!("d{}", number % 5).parse().expect("a name"),
+        peer: addr(number),
+        relay: None,
+        incarnation: Incarnation(1),
+        disk: number == LEADER,
+    })
+}
+
+fn endpoint(number: usize, generation: u64) -> Command {
+    Command::Endpoint(Endpoint {
+        name: format!("endpoint-{number}").parse().expect("a name"),
+        pool: pool(number),
+        domain: format!("d{}", number % 5).parse().expect("a name"),
+        addr: addr(number),
+        generation: Generation(generation),
+        state: EndpointState::Warm,
+        slots: Slots(8),
+        cold_slots: Slots(8),
+        version: None,
+    })
+}
+
+/// A change after which a route uses each pool.
+fn routes() -> Command {
+    let put_pool = |i| Edit::PutPool(Pool { name: pool(i), kind: PoolKind::Model });
+    let put_route = |i| {
+        let stage = Stage {
+            name: "s".parse().expect("a name"),
+            pool: pool(i),
+            after: Vec::new(),
+            effect: false,
+        };
+        let name = format!("route{i}").parse().expect("a name");
+        Edit::PutRoute(Route { name, stages: vec![stage], deadline: Millis(1000) })
+    };
+    let edits = (0..POOLS).map(put_pool).chain((0..POOLS).map(put_route)).collect();
+    Command::Change(Change {
+        id: ChangeId::generate(),
+        base: None,
+        author: "test".to_owned(),
+        at: WallTime(1),
+        edits,
+    })
+}
+
+/// An instance as its leader sees it.
+#[derive(Default)]
+struct Instance {
+    seq: u64,
+    applied: Index,
+    grants: u64,
+    held: Vec<Holding>,
+    wants_holdings: bool,
+    /// The number of the list of limits that it holds.
+    limits: u64,
+    replies: u64,
+    /// Whether the leader knows what it holds.
+    is_known: bool,
+}
+
+/// A leader that has just been elected, and instances that renew with it.
+struct Fleet {
+    voter: Voter,
+    now: Time,
+    instances: Vec<Instance>,
+    /// The renewals that arrive with the next step.
+    arriving: Vec<usize>,
+    queued: u32,
+    longest: Duration,
+    total: Duration,
+}
+
+impl Fleet {
+    /// A leader of `instances` instances and `endpoints` endpoints that none has reported to.
+    fn new(instances: usize, endpoints: usize, with_routes: bool) -> Self {
+        let (id, mut now) = (NodeId(1), Time(1));
+        let mut voter = Voter::new(id, RestoredState::default(), now, 1);
+        voter.raft_mut().bootstrap(Config::single(id, addr(LEADER)));
+        let mut disk = Disk::default();
+        elect(&mut voter, &mut now, &mut disk);
+        let members = (0..instances).map(member);
+        let announcements = (0..endpoints).map(|it| endpoint(it, 1));
+        for command in members.chain(announcements).chain(with_routes.then(routes)) {
+            voter.propose(now, Token(0), command);
+            disk.sync(&mut voter, now);
+        }
+        let restored = RestoredState { hard: disk.hard, snapshot: None, entries: disk.entries };
+        let mut voter = Voter::new(id, restored, now, 2);
+        elect(&mut voter, &mut now, &mut Disk::default());
+        let index = voter.applied();
+        let row = || Instance { applied: index, ..Instance::default() };
+        Self {
+            voter,
+            now,
+            instances: (0..instances).map(|_| row()).collect(),
+            arriving: (0..instances).collect(),
+            queued: 0,
+            longest: Duration::ZERO,
+            total: Duration::ZERO,
+        }
+    }
+
+    /// Runs until the leader knows what each instance holds.
+    fn run_until_known(&mut self) {
+        let end = self.now + Millis(2000);
+        while !self.instances.iter().all(|it| it.is_known) {
+            assert!(self.now < end, "not all instances have reported within 2 s");
+            self.step();
+        }
+    }
+
+    fn run(&mut self, time: Millis) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for node in std::mem::take(&mut self.arriving) {
+            let request = self.request(node);
+            self.measure(|voter, now| voter.renew(now, Token(node as u64 + 1), request));
+        }
+        self.measure(|voter, now| voter.tick(now));
+        Disk::default().sync(&mut self.voter, self.now);
+        for it in self.voter.take_completions() {
+            if let Completion::Renewal(token, result) = it {
+                self.answer(token.0 as usize - 1, *result);
+            }
+        }
+    }
+
+    fn measure(&mut self, work: impl FnOnce(&mut Voter, Time)) {
+        let start = thread_time();
+        work(&mut self.voter, self.now);
+        let took = thread_time().saturating_sub(start);
+        self.longest = self.longest.max(took);
+        self.total += took;
+    }
+
+    /// Proposes a command, which is committed with the next step.
+    fn propose(&mut self, command: Command) {
+        self.measure(|voter, now| voter.propose(now, Token(0), command));
+    }
+
+    fn answer(&mut self, node: usize, result: Result<RenewReply, RenewError>) {
+        self.arriving.push(node);
+        let it = &mut self.instances[node];
+        let reply = result.expect("a leader answers");
+        it.replies += 1;
+        it.is_known = !reply.want_holdings;
+        it.wants_holdings = reply.want_holdings;
+        if let Some(LimitListUpdate::New(list)) = reply.limits.map(|it| it.list) {
+            it.limits = list.number;
+        }
+        if !matches!(reply.update, Update::Same) {
+            it.applied = reply.index;
+        }
+        if let Some(grants) = reply.grants.filter(|new| new.number > it.grants) {
+            it.grants = grants.number;
+            it.held = grants.shares;
+        }
+    }
+
+    fn request(&mut self, node: usize) -> RenewRequest {
+        let it = &mut self.instances[node];
+        it.seq += 1;
+        let demand = |i| Demand { pool: pool(i), in_flight: 1, queued: self.queued };
+        RenewRequest {
+            node: NodeId(node as u64 + 1),
+            incarnation: Incarnation(1),
+            seq: it.seq,
+            applied: it.applied,
+            version: Version(0),
+            grants_number: it.grants,
+            excess: Vec::new(),
+            holdings: it.wants_holdings.then(|| it.held.clone()),
+            reports: Vec::new(),
+            faults: Vec::new(),
+            healthy: Vec::new(),
+            demand: (0..POOLS).map(demand).collect(),
+            teams: Vec::new(),
+            crashes: Vec::new(),
+            answered: Vec::new(),
+            answered_pools: Vec::new(),
+            limits: Some(LimitRequest { list: it.limits, ..LimitRequest::default() }),
+            packed: true,
+            cut: false,
+            leaving: false,
+        }
+    }
+
+    /// The most replies that an instance has got.
+    fn most_replies(&self) -> u64 {
+        self.instances.iter().map(|it| it.replies).max().unwrap_or_default()
+    }
+}
+
+/// What a voter has written.
+#[derive(Default)]
+struct Disk {
+    hard: HardState,
+    entries: Vec<Entry>,
+}
+
+impl Disk {
+    /// Makes all writes of a voter durable.
+    fn sync(&mut self, voter: &mut Voter, now: Time) {
+        while let Some(batch) = voter.raft_mut().take_batch() {
+            for op in batch.ops {
+                match op {
+                    LogOp::Hard(hard) => self.hard = hard,
+                    LogOp::Append(entry) => self.entries.push(entry),
+                    LogOp::Truncate { .. } | LogOp::Snapshot(_) => {}
+                }
+            }
+            voter.synced(now, batch.last);
+        }
+    }
+}
+
+fn elect(voter: &mut Voter, now: &mut Time, disk: &mut Disk) {
+    while !voter.raft().has_committed_in_term() {
+        *now = *now + Millis(10);
+        voter.tick(*now);
+        disk.sync(voter, *now);
+    }
+}
+
+/// Returns the work for one renewal until each of `instances` instances has reported to a new
+/// leader.
+fn work_per_renewal(instances: usize, endpoints: usize) -> Duration {
+    let mut fleet = Fleet::new(instances, endpoints, true);
+    fleet.run_until_known();
+    let renewals: u64 = fleet.instances.iter().map(|it| it.seq).sum();
+    fleet.total / renewals as u32
+}
+
+#[test]
+fn no_step_of_a_new_leader_takes_a_tenth_of_the_election_timeout() {
+    for (instances, endpoints) in [(300, 319), (410, 630)] {
+        let mut fleet = Fleet::new(instances, endpoints, true);
+
+        fleet.run_until_known();
+        fleet.run(Millis(1000));
+
+        assert!(
+            fleet.longest < longest_step(),
+            "{:?} with {instances} instances and {endpoints} endpoints, allowed {:?}",
+            fleet.longest,
+            longest_step()
+        );
+    }
+}
+
+#[test]
+fn a_new_leader_does_not_divide_shares_again_for_each_instance_that_reports() {
+    for instances in [300, 410] {
+        let mut fleet = Fleet::new(instances, 630, true);
+        let start = fleet.now;
+
+        fleet.run_until_known();
+
+        let elapsed = fleet.now.since(start).0;
+        let allowed = 20 + elapsed / 50;
+        let allocations = fleet.voter.allocations();
+        assert!(allocations <= allowed, "{allocations} allocations in {elapsed} ms");
+    }
+}
+
+#[test]
+fn shares_are_not_divided_where_no_route_needs_them() {
+    let mut fleet = Fleet::new(300, 319, false);
+
+    fleet.run_until_known();
+    fleet.run(Millis(1000));
+
+    let held: usize = fleet.instances.iter().map(|it| it.held.len()).sum();
+    assert_eq!(held, 0);
+}
+
+#[test]
+fn a_renewal_costs_a_leader_the_same_however_many_instances_there_are() {
+    let few = work_per_renewal(82, 630);
+    let many = work_per_renewal(410, 630);
+
+    assert!(many < 2 * few, "{few:?} with 82 instances, {many:?} with 410");
+}
+
+#[test]
+fn changes_in_quick_succession_reach_each_instance_together() {
+    let mut fleet = Fleet::new(300, 319, false);
+    fleet.run_until_known();
+    fleet.run(Millis(1000));
+    let before = fleet.most_replies();
+
+    for change in 0..50 {
+        fleet.propose(endpoint(change, 2));
+        fleet.run(Millis(20));
+    }
+    let replies = fleet.most_replies() - before;
+    fleet.run(Millis(600));
+
+    assert!(replies <= 5, "{replies} replies to one instance in a second");
+    let last = fleet.voter.applied();
+    assert!(fleet.instances.iter().all(|it| it.applied == last), "all know the last change");
+}
+
+#[test]
+fn a_change_after_a_quiet_time_is_told_at_once() {
+    let mut fleet = Fleet::new(410, 630, false);
+    fleet.run_until_known();
+    fleet.run(Millis(2000));
+
+    fleet.propose(endpoint(1, 2));
+    let last = fleet.voter.raft().last_index();
+    fleet.run(Millis(20));
+
+    assert!(fleet.instances.iter().all(|it| it.applied == last));
+}
--- a/crates/coord/tests/shares.rs
+++ b/crates/coord/tests/shares.rs
@@ -29,6 +29,11 @@
     (0..ENDPOINTS).map(new).collect()
 }
 
+/// Looks up how many requests an endpoint may be given.
+fn allowed(endpoints: &[EndpointCapacity]) -> impl Fn(&EndpointName) -> Slots {
+    |name| endpoints.iter().find(|it| it.name == *name).map_or(Slots(0), |it| it.allowed)
+}
+
 /// The shares of one instance and its requests in flight.
 #[derive(Default)]
 struct Instance {
@@ -90,7 +95,7 @@
         table.set_demand(holder(i as u64), &[Demand { pool, in_flight: 0, queued }]);
         table.confirm(holder(i as u64), instances[i].number, &instances[i].excess());
         table.allocate(now, &endpoints, &live);
-        let next = table.next_grants(holder(i as u64), &endpoints);
+        let next = table.next_grants(holder(i as u64), allowed(&endpoints));
         let again = rng.random_bool(0.3).then(|| table.last_grants(holder(i as u64))).flatten();
         delayed.extend(next.or(again).map(|it| (i, it)));
         if rng.random_bool(0.2) && !delayed.is_empty() {
@@ -126,7 +131,7 @@
     live.iter().for_each(|it| table.register(*it, 0, &[]));
 
     table.allocate(Time(1), &endpoints, &live);
-    live.iter().for_each(|it| drop(table.next_grants(*it, &endpoints)));
+    live.iter().for_each(|it| drop(table.next_grants(*it, allowed(&endpoints))));
 
     for it in &endpoints {
         assert_eq!(table.granted(&it.name), 8);
@@ -140,17 +145,17 @@
     let live: IndexSet<ShareHolder> = (0..HOLDERS).map(holder).collect();
     live.iter().for_each(|it| table.register(*it, 0, &[]));
     table.allocate(Time(1), &endpoints, &live);
-    live.iter().for_each(|it| drop(table.next_grants(*it, &endpoints)));
+    live.iter().for_each(|it| drop(table.next_grants(*it, allowed(&endpoints))));
 
     let demand = Demand { pool: "p".parse().expect("a name"), in_flight: 0, queued: 9 };
     table.set_demand(holder(4), &[demand]);
     table.allocate(Time(1) + Millis(300), &endpoints, &live);
     for it in &live {
-        let lowered = table.next_grants(*it, &endpoints);
+        let lowered = table.next_grants(*it, allowed(&endpoints));
         let number = lowered.map_or(table.grants_number(*it), |it| it.number);
         table.confirm(*it, number, &[]);
     }
-    table.next_grants(holder(4), &endpoints);
+    table.next_grants(holder(4), allowed(&endpoints));
 
     let grants = table.last_grants(holder(4)).expect("a list");
     assert_eq!(grants.shares.len(), ENDPOINTS, "it has the one slot of each endpoint");
@@ -166,11 +171,11 @@
     let live: IndexSet<ShareHolder> = [holder(1)].into_iter().collect();
 
     table.allocate(Time(1), &endpoints, &live);
-    table.next_grants(holder(1), &endpoints);
+    table.next_grants(holder(1), allowed(&endpoints));
     let before = table.granted(&endpoints[0].name);
     table.remove(holder(0));
     table.allocate(Time(2), &endpoints, &live);
-    let grants = table.next_grants(holder(1), &endpoints).expect("a new list");
+    let grants = table.next_grants(holder(1), allowed(&endpoints)).expect("a new list");
 
     assert_eq!(before, 2, "only the failed holder's share");
     assert!(grants.shares.contains(&held[0]));
@@ -183,13 +188,14 @@
     let live: IndexSet<ShareHolder> = [holder(0)].into_iter().collect();
     table.register(holder(0), 0, &[]);
     table.allocate(Time(1), &endpoints, &live);
-    let first = table.next_grants(holder(0), &endpoints).expect("a list");
+    let first = table.next_grants(holder(0), allowed(&endpoints)).expect("a list");
 
     table.revoke(&endpoints[0].name, Some(holder(0)));
     table.confirm(holder(0), first.number, &[]);
     let sum = table.granted(&endpoints[0].name);
     table.allocate(Time(2), &endpoints, &live);
-    let second = table.next_grants(holder(0), &endpoints).expect("a list with a new number");
+    let second =
+        table.next_grants(holder(0), allowed(&endpoints)).expect("a list with a new number");
 
     assert_eq!(sum, 2, "a confirmation of the earlier list frees nothing");
     assert_eq!(second.shares, first.shares);
@@ -207,7 +213,7 @@
 
     table.allocate(Time(1), &endpoints, &live);
     let held = |it: &ShareHolder| {
-        let grants = table.next_grants(*it, &endpoints).expect("a list");
+        let grants = table.next_grants(*it, allowed(&endpoints)).expect("a list");
         grants.shares.iter().map(|it| it.slots.0).sum::<u32>()
     };
     let slots: Vec<u32> = live.iter().map(held).collect();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -46,7 +46,7 @@
 };
 
 /// The most events handled before due timers run.
-const MAX_EVENTS_PER_TURN: usize = 256;
+const MAX_EVENTS_PER_TURN: usize = 32;
 /// The longest wait for an event when no timer is set.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
