Don't take endpoints that are down together for a cut

With half of the endpoints down five of them are hit now and then, since tries go on as long as connections fail; and the cut then stays, as half of five is a matter of luck.

Change: if none of the first five is reached up to twenty others are tried before a cut is declared; two that are reached end it.

--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -23,7 +23,7 @@
     placer::{Placer, Preferences},
     preferred_domain::preferred_domain,
     queue_waits::QueueWaits,
-    reach::Reach,
+    reach::{Reach, Targets},
     shard::{Shard, is_split, shards},
     stage_plan::{StagePlan, StageProgress},
     trials::Trials,
--- a/crates/coord/src/relay/reach.rs
+++ b/crates/coord/src/relay/reach.rs
@@ -1,8 +1,9 @@
 //! Whether an instance reaches any endpoints at all.
 //!
 //! One sick endpoint, or a pool that is down, is no sign of it: connections to endpoints of
-//! several pools and failure domains are tried, and only if all of them fail at once the
-//! instance counts as cut off.
+//! several pools and failure domains are tried. If all of them fail many others are tried,
+//! since a few may be down together, and only if none is reached the instance counts as cut
+//! off.
 
 use crate::{
     ids::{DomainName, PoolName},
@@ -12,6 +13,10 @@
 
 /// The most endpoints that are tried at a time.
 const MAX_TARGETS: usize = 5;
+/// The most endpoints that are tried after that if none was reached.
+const MAX_OTHERS: usize = 20;
+/// The number of endpoints reached with which an instance isn't cut off any more.
+const HEALED_TARGETS: usize = 2;
 /// The fewest endpoints whose failure says something of the instance.
 const MIN_TARGETS: usize = 2;
 /// The time between two tries, while there is a reason for them.
@@ -20,6 +25,15 @@
 /// tried: connections that went silent report no failure for seconds.
 const QUIET_TIME: Millis = Millis(1500);
 
+/// The endpoints of one try.
+#[derive(Debug)]
+pub struct Targets<'a> {
+    /// Those of as many pools and failure domains as possible.
+    pub first: Vec<&'a Endpoint>,
+    /// Those to try as well if none of the first is reached.
+    pub others: Vec<&'a Endpoint>,
+}
+
 /// What an instance knows of its links to endpoints.
 #[derive(Debug, Default)]
 pub struct Reach {
@@ -69,14 +83,14 @@
         has_reason && now.since(self.tried_at) >= TRY_INTERVAL
     }
 
-    /// Returns the endpoints to try, of as many pools and failure domains as possible.
-    /// `draw` is random, so that not the same ones are tried each time.
+    /// Returns the endpoints to try. `draw` is random, so that not the same ones are tried
+    /// each time.
     pub fn start_try<'a>(
         &mut self,
         now: Time,
         endpoints: impl Iterator<Item = &'a Endpoint>,
         draw: usize,
-    ) -> Vec<&'a Endpoint> {
+    ) -> Targets<'a> {
         self.tried_at = now;
         self.suspicious = false;
         let mut rest: Vec<&Endpoint> = endpoints.collect();
@@ -84,27 +98,28 @@
             let start = draw % rest.len();
             rest.rotate_left(start);
         }
-        let mut targets: Vec<&Endpoint> = Vec::new();
-        while targets.len() < MAX_TARGETS && !rest.is_empty() {
+        let mut first: Vec<&Endpoint> = Vec::new();
+        while first.len() < MAX_TARGETS && !rest.is_empty() {
             let known = |it: &Endpoint| {
                 let same = |domain: &DomainName, pool: &PoolName| {
                     usize::from(it.domain == *domain) + usize::from(it.pool == *pool)
                 };
-                targets.iter().map(|old| same(&old.domain, &old.pool)).sum::<usize>()
+                first.iter().map(|old| same(&old.domain, &old.pool)).sum::<usize>()
             };
             let at = (0..rest.len()).min_by_key(|i| known(rest[*i])).expect("one is left");
-            targets.push(rest.remove(at));
+            first.push(rest.remove(at));
         }
-        targets
+        let step = rest.len().div_ceil(MAX_OTHERS).max(1);
+        Targets { first, others: rest.into_iter().step_by(step).collect() }
     }
 
     /// Takes in which of the endpoints tried could be reached. Returns whether the instance
-    /// is cut off if that has changed. It counts as healed when half of them are reached.
+    /// is cut off if that has changed.
     pub fn finish_try(&mut self, reached: &[bool]) -> Option<bool> {
         let count = reached.iter().filter(|it| **it).count();
         let is_cut = match self.is_cut {
             false => reached.len() >= MIN_TARGETS && count == 0,
-            true => count * 2 < reached.len(),
+            true => count < HEALED_TARGETS.min(reached.len().div_ceil(2)),
         };
         let changed = is_cut != self.is_cut;
         self.is_cut = is_cut;
--- a/crates/coord/tests/reach.rs
+++ b/crates/coord/tests/reach.rs
@@ -37,11 +37,27 @@
     each.flat_map(|(pool, domain)| (0..2).map(move |it| endpoint(pool, domain, it))).collect()
 }
 
+/// Tries connections as the daemon does.
+fn try_endpoints(
+    reach: &mut Reach,
+    now: Time,
+    all: &[Endpoint],
+    draw: usize,
+    is_up: impl Fn(&Endpoint) -> bool,
+) {
+    let targets = reach.start_try(now, all.iter(), draw);
+    let mut reached: Vec<bool> = targets.first.iter().map(|it| is_up(it)).collect();
+    if !reach.is_cut() && !reached.contains(&true) {
+        reached.extend(targets.others.iter().map(|it| is_up(it)));
+    }
+    reach.finish_try(&reached);
+}
+
 #[test]
 fn endpoints_of_several_pools_and_domains_are_tried() {
     let all = endpoints();
     for draw in 0..all.len() {
-        let targets = Reach::default().start_try(Time(1000), all.iter(), draw);
+        let targets = Reach::default().start_try(Time(1000), all.iter(), draw).first;
 
         let pools: HashSet<_> = targets.iter().map(|it| &it.pool).collect();
         let domains: HashSet<_> = targets.iter().map(|it| &it.domain).collect();
@@ -107,9 +123,7 @@
             }
             if reach.wants_try(now) {
                 let draw = rng.random_range(0..1000);
-                let targets = reach.start_try(now, all.iter(), draw);
-                let reached: Vec<bool> = targets.iter().map(|it| !is_cut && !is_down(it)).collect();
-                reach.finish_try(&reached);
+                try_endpoints(&mut reach, now, &all, draw, |it| !is_cut && !is_down(it));
             }
             assert!(
                 is_cut || !reach.is_cut() || now.since(since) <= CONTACT,
@@ -120,3 +134,51 @@
         }
     }
 }
+
+#[test]
+fn endpoints_that_are_down_together_are_not_taken_for_a_cut() {
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let all = endpoints();
+        let mut reach = Reach::default();
+        let mut down: HashSet<usize> = HashSet::new();
+        for step in 1..300 {
+            if rng.random_bool(0.02) {
+                let count = rng.random_range(0..=all.len() * 3 / 4);
+                down = rand::seq::index::sample(&mut rng, all.len(), count).into_iter().collect();
+            }
+            reach.note_failure();
+            let now = Time(step * 4 * STEP.0);
+            let draw = rng.random_range(0..1000);
+            let number = |it: &Endpoint| all.iter().position(|row| row.name == it.name);
+            let is_up = |it: &Endpoint| number(it).is_some_and(|it| !down.contains(&it));
+
+            try_endpoints(&mut reach, now, &all, draw, is_up);
+
+            assert!(!reach.is_cut(), "seed {seed}: {} of {} are down", down.len(), all.len());
+        }
+    }
+}
+
+#[test]
+fn a_cut_that_heals_is_noticed_although_half_of_the_endpoints_are_down() {
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let all = endpoints();
+        let mut reach = Reach::default();
+        try_endpoints(&mut reach, Time(1000), &all, 0, |_| false);
+        assert!(reach.is_cut());
+        let up: HashSet<usize> =
+            rand::seq::index::sample(&mut rng, all.len(), all.len() / 2).into_iter().collect();
+        let number = |it: &Endpoint| all.iter().position(|row| row.name == it.name);
+        let is_up = |it: &Endpoint| number(it).is_some_and(|it| up.contains(&it));
+
+        // As many tries as there are within the time after a cut.
+        for attempt in 1..=7 {
+            let draw = rng.random_range(0..1000);
+            try_endpoints(&mut reach, Time(1000 + attempt * 400), &all, draw, is_up);
+        }
+
+        assert!(!reach.is_cut(), "seed {seed}");
+    }
+}
--- a/crates/daemon/src/relay/reach_watch.rs
+++ b/crates/daemon/src/relay/reach_watch.rs
@@ -3,7 +3,7 @@
 use {
     super::{clock::time_since, view::View},
     crate::event::{Event, Inbox},
-    coord::{ids::NodeId, relay::Reach, time::Time},
+    coord::{ids::NodeId, relay::Reach, tables::Endpoint, time::Time},
     indexmap::IndexSet,
     std::{
         cell::{RefCell, RefMut},
@@ -106,18 +106,20 @@
         }
     }
 
+    /// Tries connections; returns which endpoints were reached.
     async fn try_endpoints(&self, view: &View) -> Vec<bool> {
-        let targets: Vec<SocketAddr> = {
+        let (first, others): (Vec<_>, Vec<_>) = {
             let endpoints = view.all_endpoints();
             let targets =
                 self.reach().start_try(self.now(), endpoints, rand::random::<u32>() as usize);
-            targets.into_iter().map(|it| it.addr).collect()
+            let addrs = |it: Vec<&Endpoint>| it.into_iter().map(|it| it.addr).collect();
+            (addrs(targets.first), addrs(targets.others))
         };
-        let mut tries = JoinSet::new();
-        for addr in targets {
-            tries.spawn_local(is_reachable(addr));
+        let mut reached = are_reachable(first).await;
+        if !self.is_cut() && !reached.contains(&true) {
+            reached.extend(are_reachable(others).await);
         }
-        tries.join_all().await
+        reached
     }
 
     fn reach(&self) -> RefMut<'_, Reach> {
@@ -129,6 +131,15 @@
     }
 }
 
+/// Whether connections can be made to each of these addresses, in any order.
+async fn are_reachable(addrs: Vec<SocketAddr>) -> Vec<bool> {
+    let mut tries = JoinSet::new();
+    for addr in addrs {
+        tries.spawn_local(is_reachable(addr));
+    }
+    tries.join_all().await
+}
+
 /// Whether a connection can be made and stays open for a moment.
 async fn is_reachable(addr: SocketAddr) -> bool {
     let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await else {
