--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -2,12 +2,14 @@
 
 use {
     crate::{Daemon, DaemonSpec, Fault, Operator, Proxy, TempDir, wait_until},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
 };
 
 /// A generous time-out for operations that normally take a second or two.
 pub const LONG_TIMEOUT: Duration = Duration::from_secs(30);
 
+const SIGTERM: i32 = 15;
+
 /// The size and layout of a cluster.
 #[derive(Debug, Clone)]
 pub struct ClusterSpec {
@@ -19,6 +21,8 @@
     pub domains: Vec<String>,
     /// Additional command-line flags for each daemon.
     pub args: Vec<String>,
+    /// The program to run; that of this build if `None`.
+    pub program: Option<PathBuf>,
 }
 
 /// One instance of a cluster, running or stopped.
@@ -42,7 +46,7 @@
     /// A cluster of voters and non-voters spread over three failure domains.
     pub fn new(voters: usize, non_voters: usize) -> Self {
         let domains = ["north", "east", "south"].map(ToOwned::to_owned).to_vec();
-        Self { voters, non_voters, domains, args: Vec::new() }
+        Self { voters, non_voters, domains, args: Vec::new(), program: None }
     }
 
     /// Starts the cluster and waits until each instance holds a lease and each
@@ -79,6 +83,7 @@
             advertise: Some(proxy.addr()),
             log: Some(self.folder.path().join(format!("{name}.log"))),
             args: self.spec.args.clone(),
+            program: self.spec.program.clone(),
             addrs: None,
             name,
         };
@@ -99,6 +104,21 @@
         }
     }
 
+    /// Stops an instance with SIGTERM and starts it with another program, on the same
+    /// addresses and data; that of this build if `None`.
+    ///
+    /// # Panics
+    /// If it doesn't exit with success.
+    pub fn replace(&mut self, i: usize, program: Option<PathBuf>) {
+        let mut daemon = self.instances[i].daemon.take().expect("the instance isn't running");
+        daemon.proc.signal(SIGTERM);
+        let status = daemon.proc.wait(LONG_TIMEOUT);
+        assert!(status.is_some_and(|it| it.success()), "instance {i} ended with {status:?}");
+        self.instances[i].spec.program = program;
+        self.start(i);
+        self.daemon(i).wait_ready(LONG_TIMEOUT);
+    }
+
     /// Kills a running instance.
     ///
     /// # Panics
--- a/crates/harness/src/daemon.rs
+++ b/crates/harness/src/daemon.rs
@@ -28,6 +28,8 @@
     pub log: Option<PathBuf>,
     /// Additional command-line flags.
     pub args: Vec<String>,
+    /// The program to run; that of this build if `None`.
+    pub program: Option<PathBuf>,
     /// Addresses to listen on, those of a previous run; free ports if `None`.
     pub addrs: Option<Addrs>,
 }
@@ -54,7 +56,8 @@
 impl DaemonSpec {
     /// The command line that starts the daemon.
     pub fn command(&self) -> Command {
-        let mut command = Command::new(&Binaries::build().daemon);
+        let program = self.program.as_ref().unwrap_or_else(|| &Binaries::build().daemon);
+        let mut command = Command::new(program);
         command.args(["--name", &self.name, "--domain", &self.domain]);
         command.args(["--stop-notice", "300", "--log-level", "debug"]);
         let addrs = self.addrs;
--- a/crates/harness/src/operator.rs
+++ b/crates/harness/src/operator.rs
@@ -107,7 +107,11 @@
         child.wait_with_output().expect("waiting for the command-line tool failed")
     }
 
-    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, OperatorError> {
+    /// Gets a path and parses the JSON answer.
+    ///
+    /// # Errors
+    /// There is no answer, or not the one that is expected.
+    pub fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, OperatorError> {
         let sent = self.agent.get(format!("http://{}{path}", self.addr)).call();
         parse_answer(sent)
     }
