Acknowledge a deregistration only if the tables are known to be recent enough

A copy that lacks the row, as it was committed a moment ago, was taken as proof that nothing was registered, and the deregistration was acknowledged without any effect. Likewise a row of a later start of the endpoint, which the copy doesn't have yet, was left as it is.

Ruled out: instances that aren't told in time. The logs of those that sent late show all changes of 25.2 s in force at 25.4 to 25.7 s (candidates 192, then 163).

Change: a copy without a row to mark as leaving decides only when a renewal that was sent afterwards has brought it up to date; a proposed row that changed nothing is looked at again in the same way. Such a deregistration asks for a renewal at once.

--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 mod crash_evidence;
 mod cut_table;
+mod deregistrations;
 mod duties;
 mod endpoints;
 mod envelope;
@@ -23,6 +24,7 @@
 pub use {
     crash_evidence::{CRASH_WINDOW, CrashEvidence, CrashReport},
     cut_table::CutTable,
+    deregistrations::{DeregistrationStep, Deregistrations},
     endpoints::EndpointTable,
     envelope::{Envelope, PeerRefusal},
     feed::Feed,
--- a/crates/daemon/src/core/callers.rs
+++ b/crates/daemon/src/core/callers.rs
@@ -10,10 +10,10 @@
     crate::telemetry::RequestLabels,
     coord::{
         claims::ClaimRequest,
-        control::EndpointReport,
+        control::{DeregistrationStep, EndpointReport},
         ids::{EndpointName, RequestId},
         router::{Action, ClaimParams, Finish, Submission},
-        tables::{Command, Endpoint, EndpointState},
+        tables::{Command, Endpoint},
         time::{Millis, Time},
         wire::Announcement,
     },
@@ -83,7 +83,7 @@
         if !self.holder.has_lease(now) {
             notify(committed, false);
         } else if changed {
-            self.propose_endpoint(now, endpoint, committed);
+            self.propose_endpoint(now, endpoint, Origin::Announcement(committed));
         } else {
             notify(committed, true);
         }
@@ -98,25 +98,45 @@
         name: &EndpointName,
         committed: CommitNotice,
     ) {
-        let known = self.holder.tables().endpoints.get(name);
-        match known.filter(|it| it.state != EndpointState::Leaving) {
-            _ if !self.holder.has_lease(now) => notify(committed, false),
-            Some(it) => {
-                let leaving = Endpoint { state: EndpointState::Leaving, ..it.clone() };
-                self.propose_endpoint(now, leaving, committed);
+        if !self.holder.has_lease(now) {
+            notify(committed, false);
+            return;
+        }
+        let tables = self.holder.tables();
+        match self.deregistrations.begin(now, name, tables, committed) {
+            Some((row, committed)) => self.propose_leaving(now, row, committed),
+            None => log::info!(
+                endpoint:% = name, index:% = self.holder.index();
+                "[endpoints] deregistration waits for more recent tables"
+            ),
+        }
+    }
+
+    /// Goes on with deregistrations after a reply to a renewal that was sent at `asked`.
+    pub(super) fn refresh_deregistrations(&mut self, now: Time, asked: Time) {
+        let tables = self.holder.tables().clone();
+        for step in self.deregistrations.refresh(asked, &tables) {
+            match step {
+                DeregistrationStep::Propose(row, committed) => {
+                    self.propose_leaving(now, row, committed);
+                }
+                DeregistrationStep::Done(committed) => notify(committed, true),
             }
-            None => notify(committed, true),
         }
     }
 
-    fn propose_endpoint(&mut self, now: Time, endpoint: Endpoint, committed: CommitNotice) {
+    fn propose_leaving(&mut self, now: Time, row: Endpoint, committed: CommitNotice) {
+        let origin = Origin::Deregistration { endpoint: row.name.clone(), committed };
+        self.propose_endpoint(now, row, origin);
+    }
+
+    fn propose_endpoint(&mut self, now: Time, endpoint: Endpoint, origin: Origin) {
         log::info!(
             endpoint:% = endpoint.name, generation:% = endpoint.generation,
             state:? = endpoint.state, addr:% = endpoint.addr, pool:% = endpoint.pool,
             version = endpoint.version.as_ref().map_or("none", |it| it.as_str());
             "[endpoints] An endpoint has news."
         );
-        let origin = Origin::Announcement(committed);
         self.propose(
             now,
             Proposal::new(origin, Command::Endpoint(endpoint), now + ANNOUNCE_TIMEOUT),
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Context,
-        proposals::Proposal,
+        proposals::{CommitNotice, Proposal, notify},
         renewals::{Renewals, Unsettled},
         stop::Stop,
         streams::{Lookup, WaitingLookup},
@@ -20,7 +20,10 @@
         telemetry::Meters,
     },
     coord::{
-        control::{Completion, Envelope, LeaseHolder, PeerGuard, Token, Voter, first_voters},
+        control::{
+            Completion, Deregistrations, Envelope, LeaseHolder, PeerGuard, Token, Voter,
+            first_voters,
+        },
         ids::{Class, Index, NodeId, PoolName, RequestId, RouteName, TeamName, Term},
         limits::SharedGate,
         raft::{Config, Role},
@@ -94,6 +97,8 @@
     pub(super) pending: IndexMap<Token, Pending>,
     /// Proposals to retry, and when.
     pub(super) retries: Vec<(Time, Proposal)>,
+    /// Deregistrations of endpoints that wait for more recent tables.
+    pub(super) deregistrations: Deregistrations<CommitNotice>,
     /// Operators' requests to retry: when, and until when.
     pub(super) admin_retries: Vec<(Time, Box<OperatorCall>, Time)>,
     pub(super) peers: UnboundedSender<Outgoing>,
@@ -104,7 +109,7 @@
     pub(super) suspects: watch::Sender<Arc<Suspects>>,
     /// The pools whose streams are recorded.
     pub(super) mixed: watch::Sender<Arc<IndexSet<PoolName>>>,
-    /// The instances that reach no endpoints.
+    /// The instances that reach no endpoints, or that the leader doesn't hear of.
     pub(super) cut: watch::Sender<Arc<IndexSet<NodeId>>>,
     /// Where this instance takes relayed requests.
     pub(super) relay_addr: Option<SocketAddr>,
@@ -160,6 +165,7 @@
             callers: IndexMap::new(),
             pending: IndexMap::new(),
             retries: Vec::new(),
+            deregistrations: Deregistrations::default(),
             admin_retries: Vec::new(),
             peers: context.peers,
             endpoints: context.endpoints,
@@ -246,6 +252,9 @@
         self.router.set_leased(self.holder.has_lease(now));
         self.router.tick(now);
         self.tick_proposals(now);
+        for committed in self.deregistrations.expire(now) {
+            notify(committed, false);
+        }
         self.tick_admin(now);
         self.tick_lookups(now);
         self.tick_renewals(now);
--- a/crates/daemon/src/core/proposals.rs
+++ b/crates/daemon/src/core/proposals.rs
@@ -10,7 +10,7 @@
     },
     coord::{
         control::{ProposalError, Token},
-        ids::{ClaimKey, RequestId},
+        ids::{ClaimKey, EndpointName, RequestId},
         tables::{Command, Outcome},
         time::{Millis, Time},
         wire::OperatorError,
@@ -32,6 +32,11 @@
     Join,
     /// An announcement that changes an endpoint's row.
     Announcement(CommitNotice),
+    /// The row that marks an endpoint as leaving.
+    Deregistration {
+        endpoint: EndpointName,
+        committed: CommitNotice,
+    },
     /// Records of streams.
     Streams(CommitNotice),
 }
@@ -191,6 +196,10 @@
             }
             Origin::Join => self.on_joined(&outcome),
             Origin::Announcement(committed) | Origin::Streams(committed) => notify(committed, true),
+            Origin::Deregistration { endpoint, committed } => match outcome {
+                Outcome::Stale => self.deregistrations.wait(now, endpoint, committed),
+                _ => notify(committed, true),
+            },
             Origin::Settlement => {}
         }
     }
@@ -207,9 +216,9 @@
                 (call.respond)(OperatorAnswer::Failed(err));
             }
             Origin::Join => self.renewals.joining = false,
-            Origin::Announcement(committed) | Origin::Streams(committed) => {
-                notify(committed, false)
-            }
+            Origin::Announcement(committed)
+            | Origin::Streams(committed)
+            | Origin::Deregistration { committed, .. } => notify(committed, false),
             Origin::Settlement => {}
         }
     }
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -260,6 +260,7 @@
         }
         let early = self.renewals.unsettled.is_urgent()
             || self.renewals.cut_unreported
+            || !self.deregistrations.is_empty()
             || self.router.is_starved(now)
             || self.gate.lock().has_news();
         let count = self.holder.tables().roster.len() as u64;
@@ -428,7 +429,7 @@
             self.cut.send_replace(Arc::new(std::mem::take(&mut reply.cut)));
         }
         self.router.set_team_totals(&reply.teams);
-        let (seq, limits) = (reply.seq, reply.limits.take());
+        let (seq, limits, index) = (reply.seq, reply.limits.take(), reply.index);
         let change = self.holder.apply_reply(now, sent_at, reply);
         if let Some(reason) = &change.failure {
             log::warn!(reason = reason.as_str(); "[lease] update not applied; asking for whole tables");
@@ -440,6 +441,9 @@
             self.tables.send_replace(tables);
             self.update_gauges(now);
         }
+        if self.holder.has_lease(now) && self.holder.index() >= index {
+            self.refresh_deregistrations(now, sent_at);
+        }
         if let Some(limits) = limits {
             let changes = self.gate.lock().apply(now, sent_at, seq, limits);
             changes.iter().for_each(|(name, it)| log_limit(name, it, "leader"));
