Tell all instances which ones have fallen silent

Each of the others found that out by itself, one batcher after the other: 1.5 s without a pong, then 0.4 s for each new connection, in which stages waited (81 such lines from 3 to 12 s at the 15 instances whose logs were kept); then tried them again after a second.

Change: the leader, which hears of each instance twice a second, lists those silent for a second beside those that reach no endpoints; nobody gathers there, and stages that wait for one go to the next candidate. If it doesn't hear of three quarters it takes itself for cut off and keeps its list. An instance that has just started and knows no shards says so, instead of telling that the shard has no endpoints, for which callers avoided the whole shard.

Result: two tests without a network (300 instances, 50 of them silent: all others know within 1.8 s, and of their return within a second).

--- a/crates/coord/src/control/cut_table.rs
+++ b/crates/coord/src/control/cut_table.rs
@@ -1,11 +1,13 @@
-//! The leader's list of instances that reach no endpoints.
+//! The leader's list of instances that are of no use to others.
 
 use {crate::ids::NodeId, indexmap::IndexSet};
 
-/// The instances that have reported to be cut off from all endpoints.
+/// The instances that have reported to be cut off from all endpoints, and those that the
+/// leader doesn't hear of.
 #[derive(Debug, Default)]
 pub struct CutTable {
     nodes: IndexSet<NodeId>,
+    silent: IndexSet<NodeId>,
     revision: u64,
 }
 
@@ -26,6 +28,14 @@
         self.revision += u64::from(self.nodes.len() < count);
     }
 
+    /// Replaces the instances that the leader doesn't hear of.
+    pub fn set_silent(&mut self, silent: IndexSet<NodeId>) {
+        if silent != self.silent {
+            self.silent = silent;
+            self.revision += 1;
+        }
+    }
+
     /// The number of changes so far.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -33,6 +43,6 @@
 
     /// Returns the list.
     pub fn nodes(&self) -> IndexSet<NodeId> {
-        self.nodes.clone()
+        self.nodes.union(&self.silent).copied().collect()
     }
 }
--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -2,7 +2,7 @@
 //! changes of the set of voters.
 
 use {
-    super::{Completion, ProposalError, ShareHolder, Voter, shares::EndpointCapacity},
+    super::{Completion, LONG_POLL, ProposalError, ShareHolder, Voter, shares::EndpointCapacity},
     crate::{
         ids::{NodeId, PoolName},
         raft::HEARTBEAT_INTERVAL,
@@ -15,6 +15,14 @@
 
 /// How long after its lease an instance is removed from the roster.
 const MEMBER_EXPIRY: Millis = Millis(30_000);
+/// How long after its last renewal an instance counts as silent: twice the time for which a
+/// renewal is delayed, so that one slow renewal is no sign of it.
+const SILENCE_TIME: Millis = Millis(2 * LONG_POLL.0);
+/// The interval between two looks for silent instances.
+const SILENCE_CHECK_INTERVAL: Millis = Millis(100);
+/// The part of the roster, in percent, beyond which the leader rather than the instances is
+/// taken to be cut off.
+const MAX_SILENT_PERCENT: usize = 75;
 /// The interval between two searches for stale rows.
 const CLEANUP_INTERVAL: Millis = Millis(1000);
 /// The silence, a few heartbeats long, after which a voter may have failed.
@@ -65,6 +73,28 @@
         }
     }
 
+    /// Looks for instances that have stopped to renew, so that others don't each have to
+    /// find out by waiting for them. One that hasn't renewed with this leader counts as
+    /// silent once it can't have a lease of an earlier one.
+    pub(super) fn update_silent(&mut self, now: Time) {
+        if now.since(self.silence_checked_at) < SILENCE_CHECK_INTERVAL {
+            return;
+        }
+        self.silence_checked_at = now;
+        let roster = &self.state.tables.roster;
+        let is_silent = |id: &NodeId| match self.leases.granted_at(*id) {
+            Some(granted) => {
+                let received = self.renewals.get(id).map(|it| it.received);
+                now.since(received.unwrap_or(granted).max(granted)) >= SILENCE_TIME
+            }
+            None => !self.leases.may_hold(*id, now),
+        };
+        let silent: IndexSet<NodeId> = roster.keys().copied().filter(is_silent).collect();
+        if silent.len() * 100 <= roster.len() * MAX_SILENT_PERCENT {
+            self.cut.set_silent(silent);
+        }
+    }
+
     /// Allocates shares, if that is due.
     pub(super) fn allocate(&mut self, now: Time) {
         if !self.shares.needs_allocation(now) {
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -183,7 +183,7 @@
     /// The pools whose streams the instance is to record.
     #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
     pub mixed: IndexSet<PoolName>,
-    /// The instances that reach no endpoints.
+    /// The instances that reach no endpoints, or that the leader doesn't hear of.
     #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
     pub cut: IndexSet<NodeId>,
 }
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -111,6 +111,7 @@
     pub(super) crashes: CrashEvidence,
     pub(super) intake: StreamIntake,
     pub(super) cut: CutTable,
+    pub(super) silence_checked_at: Time,
     /// The pools whose streams are recorded.
     pub(super) mixed: IndexSet<PoolName>,
     /// When the record of streams was last rotated, or this voter began to lead.
@@ -155,6 +156,7 @@
             crashes: CrashEvidence::default(),
             intake: StreamIntake::default(),
             cut: CutTable::default(),
+            silence_checked_at: now,
             mixed: IndexSet::new(),
             rotated_at: now,
             told: IndexMap::new(),
@@ -228,6 +230,7 @@
         self.update_withheld(now);
         self.write_streams(now);
         self.cut.retain(|id| self.leases.may_hold(id, now));
+        self.update_silent(now);
         self.propose_cleanup(now);
         self.promote(now);
         self.grant_sends(now);
--- a/crates/coord/tests/large_fleets.rs
+++ b/crates/coord/tests/large_fleets.rs
@@ -13,6 +13,7 @@
         },
         time::{Millis, Time, WallTime},
     },
+    indexmap::IndexSet,
     std::{fs, time::Duration},
 };
 
@@ -106,6 +107,10 @@
     replies: u64,
     /// Whether the leader knows what it holds.
     is_known: bool,
+    /// Whether its renewals get lost.
+    is_silent: bool,
+    /// The instances that it was told to be of no use.
+    cut: IndexSet<NodeId>,
 }
 
 /// A leader that has just been elected, and instances that renew with it.
@@ -168,7 +173,10 @@
 
     fn step(&mut self) {
         self.now = self.now + STEP;
-        for node in std::mem::take(&mut self.arriving) {
+        let instances = &self.instances;
+        let sent: Vec<usize> =
+            self.arriving.extract_if(.., |it| !instances[*it].is_silent).collect();
+        for node in sent {
             let request = self.request(node);
             self.measure(|voter, now| voter.renew(now, Token(node as u64 + 1), request));
         }
@@ -199,6 +207,7 @@
         let it = &mut self.instances[node];
         let reply = result.expect("a leader answers");
         it.replies += 1;
+        it.cut = reply.cut.clone();
         it.is_known = !reply.want_holdings;
         it.wants_holdings = reply.want_holdings;
         if let Some(LimitListUpdate::New(list)) = reply.limits.map(|it| it.list) {
@@ -369,3 +378,32 @@
 
     assert!(fleet.instances.iter().all(|it| it.applied == last));
 }
+
+#[test]
+fn all_are_told_of_instances_that_fall_silent_and_of_their_return() {
+    let mut fleet = Fleet::new(300, 319, false);
+    fleet.run_until_known();
+    fleet.run(Millis(1000));
+    let silent: IndexSet<NodeId> = (100..150).map(|it| NodeId(it + 1)).collect();
+
+    (100..150).for_each(|it| fleet.instances[it].is_silent = true);
+    fleet.run(Millis(1800));
+    let told = fleet.instances.iter().filter(|it| !it.is_silent && it.cut == silent).count();
+    (100..150).for_each(|it| fleet.instances[it].is_silent = false);
+    fleet.run(Millis(1000));
+
+    assert_eq!(told, 250);
+    assert!(fleet.instances.iter().all(|it| it.cut.is_empty()));
+}
+
+#[test]
+fn a_leader_that_hears_of_nearly_none_takes_itself_for_cut_off() {
+    let mut fleet = Fleet::new(300, 319, false);
+    fleet.run_until_known();
+    fleet.run(Millis(1000));
+
+    (1..290).for_each(|it| fleet.instances[it].is_silent = true);
+    fleet.run(Millis(1800));
+
+    assert!(fleet.instances.iter().all(|it| it.cut.is_empty()));
+}
--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -183,14 +183,17 @@
         let now = time_since(self.start);
         let shard = request.shard.clone();
         let mut shards = self.shards.borrow_mut();
-        let batcher = shards.get_mut(&shard).filter(|it| !it.endpoints.is_empty());
-        let Some(batcher) = batcher else {
+        let known = shards.get_mut(&shard);
+        // An instance that has just started knows no shards yet; that says nothing of them.
+        let missing = if known.is_some() { PieceError::Down } else { PieceError::Unreachable };
+        let Some(batcher) = known.filter(|it| !it.endpoints.is_empty()) else {
             log::info!(
-                request = request.request_id.as_str(), pool:% = shard.pool, shard:% = shard;
+                request = request.request_id.as_str(), pool:% = shard.pool, shard:% = shard,
+                error:% = missing;
                 "[relay] stage refused: the shard has no endpoints"
             );
             // The submitter may be gone.
-            let _ = respond.send(StageReply::failed(PieceError::Down));
+            let _ = respond.send(StageReply::failed(missing));
             return;
         };
         let first = self.next_piece.get();
--- a/crates/daemon/src/relay/reach_watch.rs
+++ b/crates/daemon/src/relay/reach_watch.rs
@@ -59,11 +59,21 @@
         self.reach.borrow().is_cut()
     }
 
-    /// Whether an instance has reported that it reaches no endpoints.
+    /// Whether an instance has reported that it reaches no endpoints, or the leader doesn't
+    /// hear of it.
     pub fn is_peer_cut(&self, id: NodeId) -> bool {
         self.cut.borrow().contains(&id)
     }
 
+    /// Waits until the list of those instances changes.
+    pub async fn peers_changed(&self) {
+        let mut cut = self.cut.clone();
+        cut.mark_unchanged();
+        if cut.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Notes that a request is sent.
     pub fn note_sent(self: &Rc<Self>) -> WaitGuard {
         let now = self.now();
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -225,13 +225,21 @@
         self.queue_waits.borrow().order(self.now(), shards, domain, request.priority, subject)
     }
 
-    /// Whether the instance at a peer address reaches no endpoints.
+    /// Whether the instance at a peer address reaches no endpoints, or the leader doesn't
+    /// hear of it.
     pub fn is_peer_cut(&self, addr: SocketAddr) -> bool {
         let view = self.view();
         let mut members = view.tables.roster.values();
         members.any(|it| it.peer == addr && self.reach.is_peer_cut(it.id))
     }
 
+    /// Waits until the instance at a peer address is of no use to others.
+    pub async fn until_peer_cut(&self, addr: SocketAddr) {
+        while !self.is_peer_cut(addr) {
+            self.reach.peers_changed().await;
+        }
+    }
+
     /// Returns the expected queue time of a piece at a shard; zero without a
     /// recent report.
     pub fn expected_wait(&self, shard: &Shard, priority: u8) -> Millis {
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -278,7 +278,10 @@
             StageRequest { shard: shard.clone(), target, deadline, ..self.stage_request.clone() };
         match batcher == relay.peer {
             true => relay.batchers.submit(request).await,
-            false => relay.batcher_clients.submit(batcher, request).await,
+            false => tokio::select! {
+                reply = relay.batcher_clients.submit(batcher, request) => reply,
+                () = relay.until_peer_cut(batcher) => StageReply::failed(PieceError::Unreachable),
+            },
         }
     }
 }
