--- a/crates/coord/src/control/crash_evidence.rs
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -39,8 +39,8 @@
 /// By how much a request may seem to have been sent before an earlier crash and still
 /// count as sent after it: the times are those of different instances.
 const ORDER_TOLERANCE: Millis = Millis(20);
-/// How long after the decisive crash answers are waited for: instances learn of suspects
-/// and report answers within two renewals.
+/// How long answers are waited for after the leader has heard of the decisive crashes:
+/// instances learn of suspects and report answers within two renewals.
 const SETTLE_TIME: Millis = Millis(1000);
 /// The maximum number of crashes that are remembered, and of requests of one of them.
 const MAX_CRASHES: usize = 64;
@@ -93,6 +93,8 @@
 #[derive(Debug)]
 struct Crash {
     at: Time,
+    /// When this leader first heard of it. A new one is told of crashes of long ago.
+    known_at: Time,
     endpoint: EndpointName,
     generation: Generation,
     pool: PoolName,
@@ -134,6 +136,8 @@
 struct Suspicion {
     /// The crashes that count, by time.
     crashes: Vec<Time>,
+    /// When this leader first heard of each of them.
+    known_at: Vec<Time>,
     /// The positions of the crashes that count, and of all that a request was at.
     counted: Vec<usize>,
     present: Vec<usize>,
@@ -190,6 +194,7 @@
         let place = self.crashes.partition_point(|it| it.at <= at);
         let crash = Crash {
             at,
+            known_at: now,
             endpoint: report.endpoint.clone(),
             generation: report.generation,
             pool: report.pool.clone(),
@@ -252,10 +257,10 @@
     fn is_due(&self, now: Time, key: &SuspectKey, it: &Suspicion) -> bool {
         let is_request = key.suspect.is_request();
         let needed = if is_request { MIN_REQUEST_CRASHES } else { MIN_PART_CRASHES };
-        let Some(decisive) = it.crashes.get(needed - 1) else {
+        let Some(known) = it.known_at.get(..needed).and_then(|it| it.iter().max()) else {
             return false;
         };
-        let is_settled = now.since(*decisive) >= SETTLE_TIME;
+        let is_settled = now.since(*known) >= SETTLE_TIME;
         let answers = self.pool_answered.get(&key.pool).is_some_and(|at| *at > it.crashes[0]);
         let span = it.crashes.last().map_or(Millis(0), |last| last.since(it.crashes[0]));
         match is_request {
@@ -346,6 +351,7 @@
             let last = row.crashes.last();
             if last.is_none_or(|it| crash.at > *it && lost.sent + ORDER_TOLERANCE >= *it) {
                 row.crashes.push(crash.at);
+                row.known_at.push(crash.known_at);
                 row.counted.push(position);
             }
         }
@@ -376,6 +382,7 @@
                 let last = row.crashes.last();
                 if last.is_none_or(|it| crash.at.since(*it) >= MOMENT_GAP) {
                     row.crashes.push(crash.at);
+                    row.known_at.push(crash.known_at);
                 }
             }
         }
