Don't take a restarted instance for its earlier run that fell silent

Cause: an instance without a disk has a new id after each start, and its earlier run stays in the roster for 30 s. Since the leader lists silent instances, the earlier run's id made everybody pass over the address of the new one for those 30 s.

Change: an address is passed over only if all members that have it are listed, and the leader doesn't list a member whose address another one is heard from.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -6,7 +6,7 @@
     crate::{
         ids::{NodeId, PoolName},
         raft::HEARTBEAT_INTERVAL,
-        tables::{Command, SuspectKey},
+        tables::{Command, Member, SuspectKey},
         time::{Millis, Time},
     },
     indexmap::IndexSet,
@@ -89,7 +89,12 @@
             }
             None => !self.leases.may_hold(*id, now),
         };
-        let silent: IndexSet<NodeId> = roster.keys().copied().filter(is_silent).collect();
+        let (silent, heard): (Vec<&Member>, Vec<&Member>) =
+            roster.values().partition(|it| is_silent(&it.id));
+        // A restarted instance may be another member at the same address.
+        let in_use: IndexSet<SocketAddr> = heard.iter().map(|it| it.peer).collect();
+        let lost = silent.iter().filter(|it| !in_use.contains(&it.peer));
+        let silent: IndexSet<NodeId> = lost.map(|it| it.id).collect();
         if silent.len() * 100 <= roster.len() * MAX_SILENT_PERCENT {
             self.cut.set_silent(silent);
         }
--- a/crates/coord/src/relay/candidates.rs
+++ b/crates/coord/src/relay/candidates.rs
@@ -4,7 +4,10 @@
 
 use {
     super::Shard,
-    crate::tables::{Member, Tables},
+    crate::{
+        ids::NodeId,
+        tables::{Member, Tables},
+    },
     indexmap::IndexSet,
     sha2::{Digest, Sha256},
     std::net::SocketAddr,
@@ -33,6 +36,13 @@
     }
 }
 
+/// Whether the instance at a peer address is among those that are of no use to others. One
+/// that was restarted is another member at the same address; its earlier run says nothing.
+pub fn is_peer_cut(tables: &Tables, cut: &IndexSet<NodeId>, addr: SocketAddr) -> bool {
+    let mut runs = tables.roster.values().filter(|it| it.peer == addr).peekable();
+    runs.peek().is_some() && runs.all(|it| cut.contains(&it.id))
+}
+
 /// Returns the entry instances in the order in which they are tried as batcher
 /// of a shard. The first one is in the shard's own failure domain if it has any;
 /// the second one is in another domain and takes over if the first domain fails.
--- a/crates/coord/src/relay/mod.rs
+++ b/crates/coord/src/relay/mod.rs
@@ -17,7 +17,7 @@
 pub use {
     attempts::{AttemptOutcome, Attempts, NextAction},
     batch_queue::{BatchCall, BatchQueue, CallOutcome, GroupId, Piece, PieceId},
-    candidates::{batcher_candidates, entry_addrs, rank},
+    candidates::{batcher_candidates, entry_addrs, is_peer_cut, rank},
     endpoint_notices::{Availability, EndpointNotice, EndpointNotices, MAX_PAUSE, parse_pause},
     event_scanner::EventScanner,
     placer::{Placer, Preferences},
--- a/crates/coord/tests/large_fleets.rs
+++ b/crates/coord/tests/large_fleets.rs
@@ -396,6 +396,26 @@
     assert!(fleet.instances.iter().all(|it| it.cut.is_empty()));
 }
 
+#[test]
+fn an_instance_that_returns_as_another_member_is_not_listed_as_silent() {
+    let mut fleet = Fleet::new(300, 319, false);
+    fleet.run_until_known();
+    fleet.run(Millis(1000));
+
+    // Instance 100 is gone, and is back under the id that number 300 would have.
+    fleet.instances[100].is_silent = true;
+    let Command::Join(old) = member(100) else { unreachable!("it joins") };
+    fleet.propose(Command::Join(Member { id: NodeId(301), ..old }));
+    fleet.run(STEP);
+    let applied = fleet.instances[0].applied;
+    fleet.instances.push(Instance { applied, ..Instance::default() });
+    fleet.arriving.push(300);
+    fleet.run(Millis(1800));
+
+    let listed = fleet.instances.iter().filter(|it| !it.is_silent && !it.cut.is_empty()).count();
+    assert_eq!(listed, 0);
+}
+
 #[test]
 fn a_leader_that_hears_of_nearly_none_takes_itself_for_cut_off() {
     let mut fleet = Fleet::new(300, 319, false);
--- a/crates/coord/tests/relay.rs
+++ b/crates/coord/tests/relay.rs
@@ -7,11 +7,13 @@
         ids::{Bytes, EndpointName, Generation, Incarnation, NodeId, Slots},
         relay::{
             AttemptOutcome, Attempts, NextAction, Placer, Preferences, QueueWaits, Shard,
-            StagePlan, StageProgress, batcher_candidates, is_split, preferred_domain, shards,
+            StagePlan, StageProgress, batcher_candidates, is_peer_cut, is_split, preferred_domain,
+            shards,
         },
         tables::{Endpoint, EndpointState, Member, Tables},
         time::{Millis, Time},
     },
+    indexmap::IndexSet,
     std::{collections::HashMap, net::SocketAddr},
 };
 
@@ -318,3 +320,17 @@
     assert_eq!(batcher_candidates(&one, &shard), batcher_candidates(&restarted, &shard));
     assert_eq!(batcher_candidates(&one, &shard).len(), 2, "instances with a disk don't relay here");
 }
+
+#[test]
+fn a_restarted_instance_is_not_taken_for_its_earlier_run_that_fell_silent() {
+    let mut tables = entry_tables(3);
+    let restarted = Member { id: NodeId(9), ..tables.roster[&NodeId(2)].clone() };
+    tables.roster.insert(restarted.id, restarted.clone());
+    let silent: IndexSet<NodeId> = [NodeId(1), NodeId(2)].into_iter().collect();
+    let is_cut = |id: u64| is_peer_cut(&tables, &silent, tables.roster[&NodeId(id)].peer);
+
+    assert!(is_cut(1));
+    assert!(!is_cut(2), "another run is at its address");
+    assert!(!is_cut(3));
+    assert!(!is_peer_cut(&tables, &silent, ([127, 0, 0, 9], 9).into()), "an unknown address");
+}
--- a/crates/daemon/src/relay/reach_watch.rs
+++ b/crates/daemon/src/relay/reach_watch.rs
@@ -65,6 +65,11 @@
         self.cut.borrow().contains(&id)
     }
 
+    /// Returns the list of those instances.
+    pub fn cut_peers(&self) -> Arc<IndexSet<NodeId>> {
+        self.cut.borrow().clone()
+    }
+
     /// Waits until the list of those instances changes.
     pub async fn peers_changed(&self) {
         let mut cut = self.cut.clone();
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -12,7 +12,7 @@
     coord::{
         ids::{EndpointName, NodeId, PoolName, StageName},
         limits::SharedGate,
-        relay::{Placer, QueueWaits, Shard},
+        relay::{Placer, QueueWaits, Shard, is_peer_cut},
         router::{Estimator, RetryBudget},
         tables::{Suspects, Tables},
         time::{Millis, Time},
@@ -228,9 +228,7 @@
     /// Whether the instance at a peer address reaches no endpoints, or the leader doesn't
     /// hear of it.
     pub fn is_peer_cut(&self, addr: SocketAddr) -> bool {
-        let view = self.view();
-        let mut members = view.tables.roster.values();
-        members.any(|it| it.peer == addr && self.reach.is_peer_cut(it.id))
+        is_peer_cut(&self.view().tables, &self.reach.cut_peers(), addr)
     }
 
     /// Waits until the instance at a peer address is of no use to others.
--- a/crates/harness/tests/odd_entries.rs
+++ b/crates/harness/tests/odd_entries.rs
@@ -89,7 +89,9 @@
     let end = Instant::now() + RUN_TIME;
     while Instant::now() < end {
         for it in &listeners {
-            rows.iter().chain([&sound_row]).for_each(|row| drop(announce(*it, row)));
+            for row in rows.iter().chain([&sound_row]) {
+                announce(*it, row);
+            }
             post_raw(*it, &deep);
             post_raw(*it, r#"{"name":"x","slots":1e400}"#);
         }
