Log with which version, term and lease a read of the configuration is answered

A read that is answered with an older version can't be traced: no line tells the version, the leader or its lease. What an instance obeys is logged already ('catalog in force'). No logic changes.

--- a/crates/daemon/src/core/operators.rs
+++ b/crates/daemon/src/core/operators.rs
@@ -115,6 +115,14 @@
         let Some(status) = voter.status(now).filter(|_| has_lease) else {
             return Err(ProposalError::NotLeader { leader: voter.leader_addr() });
         };
+        if matches!(admin, AdminRequest::Catalog) {
+            let lease_end = voter.raft().lease().unwrap_or_default();
+            log::info!(
+                catalog = voter.state().tables.catalog.version.0, term:% = voter.raft().term(),
+                index:% = voter.applied(), lease_ms = lease_end.since(now).0;
+                "[operators] configuration read"
+            );
+        }
         match admin {
             AdminRequest::Status => Ok(AdminAnswer::Status(status)),
             AdminRequest::Tables => Ok(AdminAnswer::Tables(tables_view(voter))),
