Make durable what a killed process left in the log before it is relied on

Cause: a process that is killed between a write and its sync finds the frame when it starts again, counts its entries and votes as durable and acknowledges them, but never syncs that segment. A loss of power then takes the frame, and the folder is refused as damaged ('frame 4 follows frame 2'). Evidence: both tests of lost_power.rs failed on the code before, with that error. The segments are now synced before they are read, so what was found is durable before the process answers anybody. It explains lost voters, not an older version that is read: the gap is noticed.

--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -5,14 +5,18 @@
     snafu::ResultExt,
     std::{
         fs::{self, File, TryLockError},
-        io::Write,
+        io::{self, Write},
         path::{Path, PathBuf},
     },
 };
 
+/// Makes the content of the file at a path durable. Tests of lost power pass their own.
+pub type SyncFile = Box<dyn Fn(&Path, &File) -> io::Result<()> + Send>;
+
 /// The data folder, locked for this process until the value is dropped.
 pub struct Folder {
     path: PathBuf,
+    sync_file: SyncFile,
     _lock: File,
 }
 
@@ -22,10 +26,18 @@
     /// # Errors
     /// The folder can't be written, or another process has locked it.
     pub fn open(path: &Path) -> Result<Self, DiskError> {
+        Self::open_with(path, Box::new(|_, file| file.sync_data()))
+    }
+
+    /// Does what [`Self::open`] does, with another way to sync files.
+    ///
+    /// # Errors
+    /// The folder can't be written, or another process has locked it.
+    pub fn open_with(path: &Path, sync_file: SyncFile) -> Result<Self, DiskError> {
         fs::create_dir_all(path).context(UnwritableSnafu { path })?;
         let lock = File::create(path.join("lock")).context(UnwritableSnafu { path })?;
         match lock.try_lock() {
-            Ok(()) => Ok(Self { path: path.to_owned(), _lock: lock }),
+            Ok(()) => Ok(Self { path: path.to_owned(), sync_file, _lock: lock }),
             Err(TryLockError::WouldBlock) => InUseSnafu { path }.fail(),
             Err(TryLockError::Error(err)) => Err(err).context(UnwritableSnafu { path }),
         }
@@ -52,10 +64,10 @@
     pub fn replace(&self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
         let path = self.file(name);
         let temp = self.file(&format!("{name}.new"));
-        let write = || -> std::io::Result<()> {
+        let write = || -> io::Result<()> {
             let mut file = File::create(&temp)?;
             file.write_all(bytes)?;
-            file.sync_all()?;
+            (self.sync_file)(&temp, &file)?;
             fs::rename(&temp, &path)
         };
         let undo = || {
@@ -66,6 +78,14 @@
         self.sync()
     }
 
+    /// Makes the content of a file in the folder durable.
+    ///
+    /// # Errors
+    /// It can't be synced.
+    pub fn sync_file(&self, path: &Path, file: &File) -> io::Result<()> {
+        (self.sync_file)(path, file)
+    }
+
     /// Syncs the directory, so that created and removed files are durable.
     pub fn sync(&self) -> Result<(), DiskError> {
         let path = &self.path;
--- a/crates/daemon/src/disk/mod.rs
+++ b/crates/daemon/src/disk/mod.rs
@@ -9,6 +9,10 @@
 mod writer;
 
 pub use {
-    error::DiskError, folder::Folder, identity::Identity, retry::retry_while_full, store::Store,
+    error::DiskError,
+    folder::{Folder, SyncFile},
+    identity::Identity,
+    retry::retry_while_full,
+    store::Store,
     writer::DiskWriter,
 };
--- a/crates/daemon/src/disk/store.rs
+++ b/crates/daemon/src/disk/store.rs
@@ -148,8 +148,9 @@
         frame::encode(&mut bytes, self.seq, &body);
         let (path, file, valid_length) = (&self.path, &self.file, self.length);
         let write = || {
-            let mut file = file;
-            file.write_all(&bytes).and_then(|()| file.sync_data()).context(WriteSnafu { path })
+            let mut out = file;
+            let written = out.write_all(&bytes).and_then(|()| self.folder.sync_file(path, file));
+            written.context(WriteSnafu { path })
         };
         // A partly written frame is cut off before the next attempt.
         retry_while_full(write, || file.set_len(valid_length).context(WriteSnafu { path }))?;
@@ -202,6 +203,12 @@
 impl LogReader {
     fn read_segment(&mut self, folder: &Folder, name: &str, newest: bool) -> Result<(), DiskError> {
         let path = folder.file(name);
+        // A process that was killed before its last sync has left bytes that aren't durable.
+        let sync = || {
+            let synced = File::open(&path).and_then(|it| folder.sync_file(&path, &it));
+            synced.context(WriteSnafu { path: &path })
+        };
+        retry_while_full(sync, || Ok(()))?;
         let bytes = fs::read(&path).context(ReadSnafu { path: &path })?;
         self.segments.push(Segment { name: name.to_owned(), last: Index(0) });
         let mut at = 0;
--- /dev/null
+++ b/crates/daemon/tests/lost_power.rs
@@ -0,0 +1,119 @@
+//! Data folders whose machine loses power, in which whatever wasn't synced is gone.
+
+use {
+    coord::{
+        ids::{Index, NodeId, Term},
+        raft::{Batch, Entry, HardState, LogOp, Payload, RestoredState},
+    },
+    daemon::disk::{DiskError, Folder, Store},
+    harness::TempDir,
+    std::{
+        collections::HashMap,
+        fs::{self, File, OpenOptions},
+        io,
+        path::{Path, PathBuf},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+    },
+};
+
+/// A data folder on a disk that keeps of each file what was synced last.
+struct Disk {
+    folder: TempDir,
+    /// The length up to which each file is durable, in bytes.
+    synced: Arc<Mutex<HashMap<PathBuf, u64>>>,
+    /// Whether the process is killed before its next sync.
+    killed: Arc<AtomicBool>,
+}
+
+impl Disk {
+    fn new() -> Self {
+        let folder = TempDir::new();
+        Self { folder, synced: Arc::default(), killed: Arc::default() }
+    }
+
+    fn open(&self) -> Result<(Store, RestoredState), DiskError> {
+        self.killed.store(false, Ordering::Relaxed);
+        let (synced, killed) = (self.synced.clone(), self.killed.clone());
+        let sync = move |path: &Path, file: &File| {
+            if killed.load(Ordering::Relaxed) {
+                return Err(io::Error::other("the process is killed"));
+            }
+            let length = file.metadata()?.len();
+            synced.lock().expect("the lock").insert(path.to_owned(), length);
+            Ok(())
+        };
+        Store::open(Folder::open_with(self.folder.path(), Box::new(sync))?)
+    }
+
+    /// Writes entries and kills the process before they are synced.
+    fn kill_in_commit(&self, mut store: Store, batch: Batch) {
+        self.killed.store(true, Ordering::Relaxed);
+        store.commit(batch).expect_err("the sync doesn't happen");
+    }
+
+    fn lose_power(&self) {
+        let synced = self.synced.lock().expect("the lock");
+        for name in self.segments() {
+            let path = self.folder.path().join(name);
+            let file = OpenOptions::new().write(true).open(&path).expect("a segment");
+            file.set_len(synced.get(&path).copied().unwrap_or(0)).expect("a shorter segment");
+        }
+    }
+
+    fn segments(&self) -> Vec<String> {
+        let entries = fs::read_dir(self.folder.path()).expect("the folder").flatten();
+        let names = entries.filter_map(|it| it.file_name().into_string().ok());
+        let mut segments: Vec<String> = names.filter(|it| it.starts_with("log-")).collect();
+        segments.sort();
+        segments
+    }
+}
+
+fn batch(ops: Vec<LogOp>) -> Batch {
+    Batch { ops, after_sync: Vec::new(), last: Index(0) }
+}
+
+fn entries(indexes: impl IntoIterator<Item = u64>) -> Batch {
+    let entry = |index| Entry { term: Term(1), index: Index(index), payload: Payload::Empty };
+    batch(indexes.into_iter().map(|it| LogOp::Append(entry(it))).collect())
+}
+
+fn indexes(restored: &RestoredState) -> Vec<u64> {
+    restored.entries.iter().map(|it| it.index.0).collect()
+}
+
+#[test]
+fn entries_found_after_a_kill_outlast_a_loss_of_power() {
+    let disk = Disk::new();
+    let (mut store, _) = disk.open().expect("a new folder");
+    store.commit(entries(1..=3)).expect("the first entries");
+    disk.kill_in_commit(store, entries([4]));
+    let (store, found) = disk.open().expect("the folder after the kill");
+    assert_eq!(indexes(&found), [1, 2, 3, 4], "what the restarted process may acknowledge");
+    drop(store);
+
+    disk.lose_power();
+
+    let (_, restored) = disk.open().expect("the folder after the loss of power");
+    assert_eq!(indexes(&restored), [1, 2, 3, 4]);
+}
+
+#[test]
+fn a_vote_found_after_a_kill_outlasts_a_loss_of_power() {
+    let disk = Disk::new();
+    let (mut store, _) = disk.open().expect("a new folder");
+    store.commit(entries(1..=3)).expect("the first entries");
+    let vote = HardState { term: Term(7), vote: Some(NodeId(2)) };
+    disk.kill_in_commit(store, batch(vec![LogOp::Hard(vote)]));
+    let (store, found) = disk.open().expect("the folder after the kill");
+    assert_eq!(found.hard, vote);
+    drop(store);
+
+    disk.lose_power();
+
+    let (_, restored) = disk.open().expect("the folder after the loss of power");
+    assert_eq!(restored.hard, vote);
+}
