Ignore removed segments that come back without their successors

If power is lost in between, each removal may be lost by itself, and a segment that comes back without the next one was taken for damage, so that the voter never started again.

The test failed before ('frame 9 follows frame 2').

--- a/crates/daemon/src/disk/store.rs
+++ b/crates/daemon/src/disk/store.rs
@@ -71,7 +71,9 @@
     pub fn open(folder: Folder) -> Result<(Self, RestoredState), DiskError> {
         let mut reader = LogReader::default();
         let names = folder.names()?;
-        let logs: Vec<&String> = names.iter().filter(|it| is_segment(it)).collect();
+        let all: Vec<&String> = names.iter().filter(|it| is_segment(it)).collect();
+        let (removed, logs) = all.split_at(first_in_use(&all));
+        removed.iter().for_each(|it| folder.remove(it));
         for (i, name) in logs.iter().enumerate() {
             reader.read_segment(&folder, name, i + 1 == logs.len())?;
         }
@@ -273,6 +275,13 @@
     name.starts_with(SEGMENT_PREFIX)
 }
 
+/// The position of the first segment in use. Removals of segments that a snapshot covers
+/// may be lost with power, each by itself; what precedes a missing segment was removed.
+fn first_in_use(names: &[&String]) -> usize {
+    let follows = |pair: &[&String]| segment_number(pair[1]) == segment_number(pair[0]) + 1;
+    names.windows(2).rposition(|pair| !follows(pair)).map_or(0, |it| it + 1)
+}
+
 fn segment_number(name: &str) -> u64 {
     name.trim_start_matches(SEGMENT_PREFIX).parse().unwrap_or(0)
 }
--- a/crates/daemon/tests/lost_power.rs
+++ b/crates/daemon/tests/lost_power.rs
@@ -3,7 +3,8 @@
 use {
     coord::{
         ids::{Index, NodeId, Term},
-        raft::{Batch, Entry, HardState, LogOp, Payload, RestoredState},
+        raft::{Batch, Config, Entry, HardState, LogOp, Payload, RestoredState, Snapshot},
+        tables::State,
     },
     daemon::disk::{DiskError, Folder, Store},
     harness::TempDir,
@@ -81,6 +82,13 @@
     batch(indexes.into_iter().map(|it| LogOp::Append(entry(it))).collect())
 }
 
+fn snapshot(index: u64) -> Batch {
+    let config = Config::single(NodeId(1), ([127, 0, 0, 1], 1).into());
+    let (index, term) = (Index(index), Term(1));
+    let snapshot = Snapshot { index, term, config, state: State::default() };
+    batch(vec![LogOp::Snapshot(Arc::new(snapshot))])
+}
+
 fn indexes(restored: &RestoredState) -> Vec<u64> {
     restored.entries.iter().map(|it| it.index.0).collect()
 }
@@ -117,3 +125,25 @@
     let (_, restored) = disk.open().expect("the folder after the loss of power");
     assert_eq!(restored.hard, vote);
 }
+
+#[test]
+fn a_removed_segment_that_comes_back_without_its_successor_is_ignored() {
+    let disk = Disk::new();
+    for index in 1..=3 {
+        let (mut store, _) = disk.open().expect("the folder");
+        store.commit(entries([index])).expect("an entry");
+    }
+    let first = disk.folder.path().join(&disk.segments()[0]);
+    let bytes = fs::read(&first).expect("the first segment");
+    let (mut store, _) = disk.open().expect("the folder");
+    store.commit(snapshot(3)).expect("the snapshot, which removes earlier segments");
+    store.commit(entries([4])).expect("an entry after it");
+    drop(store);
+    assert!(!first.exists(), "the first segment is removed");
+
+    fs::write(&first, bytes).expect("the removal is undone");
+
+    let (_, restored) = disk.open().expect("the folder after the loss of power");
+    assert_eq!(restored.snapshot.map(|it| it.index), Some(Index(3)));
+    assert_eq!(restored.entries.first().map(|it| it.index), Some(Index(4)));
+}
