Don't make a learner of the lost identity of a wiped instance

Cause: the lease of a lost identity lasts 2.6 s in the leader's book, and until then it was taken for a spare instance, though another one had renewed from its address. The test failed before ('a lost identity learns').

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -82,15 +82,8 @@
         }
         self.silence_checked_at = now;
         let roster = &self.state.tables.roster;
-        let is_silent = |id: &NodeId| match self.leases.granted_at(*id) {
-            Some(granted) => {
-                let received = self.renewals.get(id).map(|it| it.received);
-                now.since(received.unwrap_or(granted).max(granted)) >= SILENCE_TIME
-            }
-            None => !self.leases.may_hold(*id, now),
-        };
         let (silent, heard): (Vec<&Member>, Vec<&Member>) =
-            roster.values().partition(|it| is_silent(&it.id));
+            roster.values().partition(|it| self.is_silent(it.id, now));
         // A restarted instance may be another member at the same address.
         let in_use: IndexSet<SocketAddr> = heard.iter().map(|it| it.peer).collect();
         let lost = silent.iter().filter(|it| !in_use.contains(&it.peer));
@@ -100,6 +93,15 @@
         }
     }
 
+    /// Whether an instance has stopped to renew.
+    fn is_silent(&self, id: NodeId, now: Time) -> bool {
+        let Some(granted) = self.leases.granted_at(id) else {
+            return !self.leases.may_hold(id, now);
+        };
+        let received = self.renewals.get(&id).map(|it| it.received);
+        now.since(received.unwrap_or(granted).max(granted)) >= SILENCE_TIME
+    }
+
     /// Allocates shares, if that is due.
     pub(super) fn allocate(&mut self, now: Time) {
         if !self.shares.needs_allocation(now) {
@@ -228,15 +230,22 @@
         let _ = self.raft.propose_config(next);
     }
 
-    /// Returns an instance with a disk and a lease that is neither voter nor learner.
+    /// Returns an instance with a disk and a lease that is neither voter nor learner. One
+    /// whose address another instance has renewed from since has lost its disk.
     fn spare_member(&self, now: Time) -> Option<(NodeId, SocketAddr)> {
         let config = self.raft.config();
-        let mut members = self.state.tables.roster.values().filter(|it| it.disk);
-        let spare = members.find(|it| {
-            let live = self.leases.get(it.id).is_some_and(|row| now < row.until);
-            live && config.addr(it.id).is_none()
-        });
-        spare.map(|it| (it.id, it.peer))
+        let roster = &self.state.tables.roster;
+        let is_latest = |member: &Member| {
+            let same = roster.values().filter(|it| it.peer == member.peer);
+            let latest = same.map(|it| self.leases.granted_at(it.id)).max().flatten();
+            latest == self.leases.granted_at(member.id)
+        };
+        let is_live = |it: &Member| {
+            let has_lease = self.leases.get(it.id).is_some_and(|row| now < row.until);
+            has_lease && !self.is_silent(it.id, now) && is_latest(it)
+        };
+        let mut members = roster.values().filter(|it| it.disk && config.addr(it.id).is_none());
+        members.find(|it| is_live(it)).map(|it| (it.id, it.peer))
     }
 
     /// Whether every voter has replied lately and there is no learner, so that a
--- a/crates/coord/tests/mending.rs
+++ b/crates/coord/tests/mending.rs
@@ -60,6 +60,26 @@
     cluster.run_until(4000, |it| it.leader().is_some_and(|id| id != 1 && id != 2));
 }
 
+/// Two instances that don't lead.
+fn two_followers(cluster: &VoterCluster) -> [u64; 2] {
+    let leader = cluster.leader().expect("an instance leads");
+    [leader % 5 + 1, (leader + 1) % 5 + 1]
+}
+
+#[test]
+fn the_lost_identity_of_a_wiped_voter_never_becomes_a_learner() {
+    let mut cluster = five_voters();
+    let lost = two_followers(&cluster);
+    let old = lost.map(|it| cluster.id(it));
+
+    cluster.wipe_all(&lost);
+
+    for _ in 0..400 {
+        cluster.run(10);
+        assert!(!cluster.learners().iter().any(|it| old.contains(it)), "a lost identity learns");
+    }
+}
+
 #[test]
 fn a_silent_voter_is_replaced_by_an_instance_at_another_address() {
     let mut cluster = five_voters();
--- a/crates/coord/tests/voter_cluster/mod.rs
+++ b/crates/coord/tests/voter_cluster/mod.rs
@@ -90,9 +90,14 @@
 
     /// Replaces a running instance by a new one with an empty disk, 500 ms later.
     pub fn wipe(&mut self, number: u64) {
-        self.stop(number);
+        self.wipe_all(&[number]);
+    }
+
+    /// Replaces running instances by new ones with empty disks, 500 ms later.
+    pub fn wipe_all(&mut self, numbers: &[u64]) {
+        numbers.iter().for_each(|it| self.stop(*it));
         self.run(500);
-        self.join(number);
+        numbers.iter().for_each(|it| self.join(*it));
     }
 
     /// The number of the instance that leads with a valid lease, if there is one.
@@ -116,6 +121,12 @@
         config.voters.keys().copied().collect()
     }
 
+    /// The learners of the leader's configuration; empty without a leader.
+    pub fn learners(&self) -> Vec<NodeId> {
+        let config = self.leader_raft().map(|it| it.config());
+        config.map(|it| it.learners.keys().copied().collect()).unwrap_or_default()
+    }
+
     /// The sorted peer addresses of the voters.
     pub fn voter_peers(&self) -> Vec<SocketAddr> {
         let raft = self.leader_raft().expect("an instance leads");
