Replace a lost voter before it is removed

Cause: the leader removed a lost voter and only then made a learner of its successor. While two were replaced three voted, and a change that was acknowledged then was on two disks; the loss of these two loses it, and without it nobody can be elected. Now a successor votes first, so that a majority of five, three disks, has every change. A set of even size that won't grow gives a silent voter up, so that systems of three voters get back to three. Evidence: 'changes_are_on_three_disks...' failed before (three voters). a_silent_voter_is_replaced... looked at the instant at which the successor votes, at which the old voter was gone by the old order; it now waits for both within the same 5 s, which asks for no less.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -5,7 +5,6 @@
     super::{Completion, LONG_POLL, ProposalError, ShareHolder, Voter, shares::EndpointCapacity},
     crate::{
         ids::{NodeId, PoolName},
-        raft::HEARTBEAT_INTERVAL,
         tables::{Command, Member, SuspectKey},
         time::{Millis, Time},
     },
@@ -25,15 +24,11 @@
 const MAX_SILENT_PERCENT: usize = 75;
 /// The interval between two searches for stale rows.
 const CLEANUP_INTERVAL: Millis = Millis(1000);
-/// The silence, a few heartbeats long, after which a voter may have failed.
-/// Until that is settled no learner is added, as it may have to replace the voter.
-const VOTER_SUSPECT_AFTER: Millis = Millis(4 * HEARTBEAT_INTERVAL.0);
-/// The silence after which a voter is removed if another instance can replace it,
-/// or if more than [`MIN_VOTERS`] are left. Longer than a change of leader, shorter
-/// than the expected time to the next failure.
+/// The silence after which a voter that has been replaced is removed, and a learner if
+/// another instance can take its place. Longer than a change of leader, shorter than
+/// the expected time to the next failure.
 const VOTER_REPLACE_AFTER: Millis = Millis(1500);
-/// The silence after which a learner is removed when there is neither a
-/// replacement nor more than [`MIN_VOTERS`] voters.
+/// The silence after which a learner is removed when no other instance can take its place.
 const LEARNER_REMOVE_AFTER: Millis = Millis(10_000);
 /// The number of voters that are kept, silent or not, unless one is replaced:
 /// entries on the disks of a majority of five survive the loss of two disks.
@@ -208,20 +203,20 @@
         }
     }
 
-    /// Proposes one change of the set of voters. An instance with a disk that
-    /// doesn't vote becomes a learner, after the voter that it replaces has been
-    /// removed: the one with the same address, whose disk is lost, or else the
-    /// one that has been silent for longest. Without such an instance a silent
-    /// voter is removed only where enough remain, since committed entries must
-    /// stay on their disks.
+    /// Proposes one change of the set of voters: the removal of one that has been replaced,
+    /// or else the promotion of a learner that has caught up, or else a learner. A voter is
+    /// replaced before it is removed, so that committed entries are meanwhile on the disks
+    /// of a majority of as many voters.
     fn repair_voters(&mut self, now: Time) {
-        let config = self.raft.config().clone();
         let spare = self.spare_member(now);
-        let mut next = config.clone();
+        let mut next = self.raft.config().clone();
         if let Some(id) = self.voter_to_remove(now, spare.map(|(_, peer)| peer)) {
             next.voters.shift_remove(&id);
             next.learners.shift_remove(&id);
-        } else if let Some((id, peer)) = spare.filter(|_| self.all_responsive(now)) {
+        } else if let Some((id, peer)) = self.ready_learner() {
+            next.learners.shift_remove(&id);
+            next.voters.insert(id, peer);
+        } else if let Some((id, peer)) = spare.filter(|_| next.learners.is_empty()) {
             next.learners.insert(id, peer);
         } else {
             return;
@@ -248,12 +243,13 @@
         members.find(|it| is_live(it)).map(|it| (it.id, it.peer))
     }
 
-    /// Whether every voter has replied lately and there is no learner, so that a
-    /// new learner replaces nobody.
-    fn all_responsive(&self, now: Time) -> bool {
-        let mut rows = self.raft.followers().values();
-        self.raft.config().learners.is_empty()
-            && rows.all(|it| now.since(it.last_reply) < VOTER_SUSPECT_AFTER)
+    /// Returns a learner that has caught up.
+    fn ready_learner(&self) -> Option<(NodeId, SocketAddr)> {
+        let commit = self.raft.commit_index();
+        let followers = self.raft.followers();
+        let is_ready = |id: &NodeId| followers.get(id).is_some_and(|it| it.matched >= commit);
+        let mut learners = self.raft.config().learners.iter();
+        learners.find(|(id, _)| is_ready(id)).map(|(id, addr)| (*id, *addr))
     }
 
     /// Returns the voter or learner to remove now, given the address of a spare
@@ -261,44 +257,42 @@
     fn voter_to_remove(&self, now: Time, spare: Option<SocketAddr>) -> Option<NodeId> {
         let config = self.raft.config();
         let own = self.raft.id();
-        let rows = || config.voters.iter().chain(&config.learners).filter(|(id, _)| **id != own);
-        let replaced = rows().find(|(_, addr)| Some(**addr) == spare);
         let silence = |id: &NodeId| {
             self.raft.followers().get(id).map_or(Millis(0), |it| now.since(it.last_reply))
         };
-        let (timeout, min_voters) = match spare {
-            Some(_) => (VOTER_REPLACE_AFTER, 1),
-            None if config.voters.len() > MIN_VOTERS => (VOTER_REPLACE_AFTER, MIN_VOTERS),
-            None => (LEARNER_REMOVE_AFTER, MIN_VOTERS),
-        };
-        let is_removable = |id: &NodeId| {
-            let votes = config.voters.contains_key(id);
-            silence(id) >= timeout && (!votes || config.voters.len() > min_voters)
+        let outlived = |id: &NodeId, addr: &SocketAddr| {
+            let mut voters = config.voters.iter().filter(|(_, it)| *it == addr);
+            voters.any(|(it, _)| silence(it) < silence(id))
         };
-        let gone = rows().filter(|(id, _)| is_removable(id)).max_by_key(|(id, _)| silence(id));
-        replaced.or(gone).map(|(id, _)| *id)
+        let wiped_voter = config.voters.iter().find(|(id, addr)| outlived(id, addr));
+        let wiped_learner = config.learners.iter().find(|(_, addr)| Some(**addr) == spare);
+        if let Some((id, _)) = wiped_voter.or(wiped_learner).filter(|(id, _)| **id != own) {
+            return Some(*id);
+        }
+        let count = config.voters.len();
+        // An even number bears no more losses than one less, unless it is about to grow.
+        let is_even = count.is_multiple_of(2) && spare.is_none() && config.learners.is_empty();
+        let voters = config.voters.keys().filter(|_| count > MIN_VOTERS || is_even);
+        let timeout = if spare.is_some() { VOTER_REPLACE_AFTER } else { LEARNER_REMOVE_AFTER };
+        let gone = voters.filter(|id| silence(id) >= VOTER_REPLACE_AFTER);
+        let gone = gone.chain(config.learners.keys().filter(|id| silence(id) >= timeout));
+        gone.filter(|id| **id != own).max_by_key(|id| silence(id)).copied()
     }
 
-    /// Promotes a learner that has caught up to voter, or else repairs the set of
-    /// voters.
+    /// Promotes a learner that has caught up to voter, or repairs the set of voters.
     pub(super) fn promote(&mut self, now: Time) {
         if now.since(self.last_promotion) < PROMOTION_INTERVAL {
             return;
         }
         self.last_promotion = now;
-        let commit = self.raft.commit_index();
-        let config = self.raft.config();
-        let ready = config
-            .learners
-            .iter()
-            .find(|(id, _)| self.raft.followers().get(*id).is_some_and(|it| it.matched >= commit));
-        let Some((id, addr)) = ready.map(|(id, addr)| (*id, *addr)) else {
-            if self.repairs_voters {
-                self.repair_voters(now);
-            }
+        if self.repairs_voters {
+            self.repair_voters(now);
+            return;
+        }
+        let Some((id, addr)) = self.ready_learner() else {
             return;
         };
-        let mut next = config.clone();
+        let mut next = self.raft.config().clone();
         next.learners.shift_remove(&id);
         next.voters.insert(id, addr);
         let _ = self.raft.propose_config(next);
--- a/crates/coord/tests/mending.rs
+++ b/crates/coord/tests/mending.rs
@@ -66,6 +66,24 @@
     [leader % 5 + 1, (leader + 1) % 5 + 1]
 }
 
+#[test]
+fn changes_are_on_three_disks_while_two_wiped_voters_are_replaced() {
+    let mut cluster = five_voters();
+    let lost = two_followers(&cluster);
+
+    cluster.wipe_all(&lost);
+
+    let mut fewest = 5;
+    for _ in 0..400 {
+        cluster.run(10);
+        fewest = fewest.min(cluster.voters().len());
+    }
+    let new = lost.map(|it| cluster.id(it));
+    assert!(new.iter().all(|it| cluster.voters().contains(it)), "both vote again within 4 s");
+    assert_eq!(cluster.voters().len(), 5);
+    assert_eq!(fewest, 5, "a majority of five voters is three disks");
+}
+
 #[test]
 fn the_lost_identity_of_a_wiped_voter_never_becomes_a_learner() {
     let mut cluster = five_voters();
@@ -80,6 +98,21 @@
     }
 }
 
+#[test]
+fn a_lost_voter_of_three_is_replaced_by_an_instance_at_another_address() {
+    let mut cluster = VoterCluster::bootstrap(3);
+    cluster.run_until(5000, |it| it.voters().len() == 3);
+    let lost = cluster.leader().expect("an instance leads") % 3 + 1;
+    let gone = cluster.id(lost);
+
+    cluster.stop(lost);
+    cluster.run(500);
+    cluster.join(4);
+
+    cluster.run_until(4000, |it| it.voters().contains(&it.id(4)) && !it.voters().contains(&gone));
+    assert_eq!(cluster.voters().len(), 3);
+}
+
 #[test]
 fn a_silent_voter_is_replaced_by_an_instance_at_another_address() {
     let mut cluster = five_voters();
@@ -88,9 +121,8 @@
     cluster.stop(5);
     cluster.run(1000);
     cluster.join(6);
-    cluster.run_until(5000, |it| it.voters().contains(&it.id(6)));
+    cluster.run_until(5000, |it| it.voters().contains(&it.id(6)) && !it.voters().contains(&gone));
 
-    assert!(!cluster.voters().contains(&gone));
     assert_eq!(cluster.voters().len(), 5);
 }
 
