Count only answers to messages of this run and term for a leader's lease

Cause: a voter that rejects a message of an earlier term sends its time stamp back with its own, later term. Stamps count from the start of the sender's process, so a leader that was restarted and elected again could take one of its earlier run for the future: a lease of as many seconds as that run was longer, and a leader on the losing side of a cut that doesn't step down. Evidence: both tests failed on the code before (a stamp of 30 s sent back with the new term; a lease until 41.5 s at 11 s).

--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -390,7 +390,7 @@
                 self.on_vote_reply(now, from, term, pre, granted);
             }
             Message::Append { term, prev, prev_term, entries, commit, sent, acked } => {
-                if self.accept_leader(now, from, term, sent) {
+                if self.accept_leader(now, from, term) {
                     self.acked.extend(acked);
                     self.on_append(from, (prev, prev_term), entries, commit, sent);
                 }
@@ -399,7 +399,7 @@
                 self.on_append_reply(now, from, term, ok, index, sent);
             }
             Message::Install { term, snapshot, sent } => {
-                if self.accept_leader(now, from, term, sent) {
+                if self.accept_leader(now, from, term) {
                     self.on_install(from, snapshot, sent);
                 }
             }
--- a/crates/coord/src/raft/replication.rs
+++ b/crates/coord/src/raft/replication.rs
@@ -97,9 +97,11 @@
 
     /// Follows the sender if its term is current; otherwise rejects the message
     /// with the current term.
-    pub(super) fn accept_leader(&mut self, now: Time, from: NodeId, term: Term, sent: u64) -> bool {
+    pub(super) fn accept_leader(&mut self, now: Time, from: NodeId, term: Term) -> bool {
         if term < self.hard.term {
-            self.reply(from, false, Index(0), sent);
+            // The sender may lead again by now, and mustn't count this as an answer to a
+            // message of its current term.
+            self.reply(from, false, Index(0), 0);
             return false;
         }
         assert!(
@@ -168,7 +170,10 @@
         let Some(progress) = self.followers.get_mut(&from) else {
             return;
         };
-        progress.acked_sent = progress.acked_sent.max(Time(sent));
+        // A later time is one of an earlier run of this process.
+        if Time(sent) <= now {
+            progress.acked_sent = progress.acked_sent.max(Time(sent));
+        }
         if ok {
             assert!(index <= last, "a follower acknowledged an index that was never sent");
             progress.accept(index, now);
--- a/crates/coord/tests/raft_steps.rs
+++ b/crates/coord/tests/raft_steps.rs
@@ -280,3 +280,40 @@
     // again and again, not all.
     assert!(bytes <= 32 << 20, "{bytes} bytes of entries were sent to a silent voter in 3 s");
 }
+
+#[test]
+fn a_rejected_message_of_an_earlier_term_counts_for_no_lease() {
+    let mut raft = voter();
+    let message = Message::Append {
+        term: Term(1),
+        prev: Index(2),
+        prev_term: Term(2),
+        entries: Vec::new(),
+        commit: Index(2),
+        sent: 30_000,
+        acked: Vec::new(),
+    };
+
+    raft.step(START, SECOND, message);
+
+    let batch = raft.take_batch().expect("the reply");
+    let message = Message::AppendReply { term: Term(2), ok: false, index: Index(0), sent: 0 };
+    assert_eq!(batch.after_sync, [Outgoing { to: SECOND, message }]);
+}
+
+#[test]
+fn a_time_stamp_of_an_earlier_run_extends_no_lease() {
+    let (mut raft, now) = leader();
+    let reply = |sent: Time| Message::AppendReply {
+        term: Term(3),
+        ok: false,
+        index: Index(0),
+        sent: sent.0,
+    };
+
+    raft.step(now, SECOND, reply(now + Millis(30_000)));
+    assert_eq!(raft.lease(), None);
+    raft.step(now, SECOND, reply(now));
+
+    assert!(raft.lease().is_some_and(|it| it < now + Millis(1000)));
+}
