Answer reads of the leader's state only once a majority has followed it since

A read at a control instance must show what was acknowledged before, with no excuse for an instance that is cut off or stood still. It rested on the leader's lease alone, and so on clocks: a leader that stands still together with its clock, or whose lease is too long for another reason, answers from old state for as long as it believes it. Now a read waits until a majority has answered a message that was sent after the read had come in. Evidence: in the simulated cluster the resumed leader has a valid lease by its clock and the old catalog, which is all that was asked for before; the read now fails. The tests of voters move into one test program, which shares the cluster.

--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -29,6 +29,8 @@
 const SNAPSHOT_SIZE: Bytes = Bytes(8 << 20);
 /// The maximum number of proposals that wait to be committed.
 const MAX_PENDING_PROPOSALS: usize = 10_000;
+/// The maximum number of reads that wait for a majority.
+const MAX_PENDING_READS: usize = 1000;
 
 /// The correlation id of a request of the embedder, returned with its completion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -58,6 +60,9 @@
 pub enum Completion {
     Proposal(Token, Result<Outcome, ProposalError>),
     Renewal(Token, Box<Result<RenewReply, RenewError>>),
+    /// Whether this voter led after a read had come in. If so, its state has all that was
+    /// acknowledged before.
+    Read(Token, Result<(), ProposalError>),
 }
 
 /// A renewal whose reply is delayed until its deadline.
@@ -101,6 +106,8 @@
     /// Who waits for the outcome of an entry, and the term in which it was proposed.
     pub(super) pending: IndexMap<Index, (Term, Vec<Token>)>,
     pub(super) renewals: IndexMap<NodeId, Renewal>,
+    /// Reads that wait until a majority has followed this leader, and when they came in.
+    pub(super) reads: Vec<(Token, Time)>,
     /// The instances in the roster that haven't reported to this leader.
     pub(super) unreported: IndexSet<NodeId>,
     pub(super) leases: LeaseTable,
@@ -147,6 +154,7 @@
             update_stats: UpdateStats::default(),
             pending: IndexMap::new(),
             renewals: IndexMap::new(),
+            reads: Vec::new(),
             unreported: IndexSet::new(),
             leases: LeaseTable::default(),
             shares: ShareTable::default(),
@@ -352,6 +360,30 @@
         self.raft.tick(now);
     }
 
+    /// Handles a read of the state, which may be answered once a majority has followed this
+    /// leader in a message sent after now: a lease alone doesn't hold if this process stands
+    /// still together with its clock. The result comes through [`Self::take_completions`].
+    pub fn read(&mut self, now: Time, token: Token) {
+        let err = match self.leading_term {
+            None => ProposalError::NotLeader { leader: self.leader_addr() },
+            Some(_) if self.reads.len() >= MAX_PENDING_READS => ProposalError::Busy,
+            Some(_) => {
+                self.reads.push((token, now));
+                self.raft.hasten_heartbeat(now);
+                self.confirm_reads();
+                return;
+            }
+        };
+        self.completions.push(Completion::Read(token, Err(err)));
+    }
+
+    /// Completes the reads after which a majority has followed this leader.
+    fn confirm_reads(&mut self) {
+        let followed = self.raft.followed_at().unwrap_or_default();
+        let confirmed = self.reads.extract_if(.., |(_, since)| *since < followed);
+        self.completions.extend(confirmed.map(|(token, _)| Completion::Read(token, Ok(()))));
+    }
+
     /// Returns the number of allocations of shares that this voter has made in its term.
     pub fn allocations(&self) -> u64 {
         self.shares.allocations()
@@ -475,6 +507,7 @@
             changed |= self.apply(&entry);
         }
         self.update_leadership(now);
+        self.confirm_reads();
         if changed {
             self.mixed = self.state.streams.mixed_pools(&self.state.tables);
         }
@@ -563,6 +596,10 @@
         let lost = unwritten.map(|it| Completion::Proposal(it, Err(ProposalError::Lost)));
         self.completions.extend(lost);
         let leader = self.leader_addr();
+        for (token, _) in std::mem::take(&mut self.reads) {
+            let err = ProposalError::NotLeader { leader };
+            self.completions.push(Completion::Read(token, Err(err)));
+        }
         for (_, it) in std::mem::take(&mut self.renewals) {
             let err = RenewError::NotLeader { leader };
             self.completions.push(Completion::Renewal(it.token, Box::new(Err(err))));
--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -286,23 +286,36 @@
         self.role == Role::Leader && self.log.term(self.commit_index) == Some(self.hard.term)
     }
 
-    /// The time until which no other leader can be elected. `None` if this voter
-    /// doesn't lead, is transferring leadership or has no answer from a majority. The
-    /// lease of a sole voter never ends.
+    /// The time until which no other leader can be elected, if all clocks run at about
+    /// the same rate. `None` if this voter doesn't lead, is transferring leadership or has
+    /// no answer from a majority. The lease of a sole voter never ends.
     pub fn lease(&self) -> Option<Time> {
-        if self.role != Role::Leader || self.transferring.is_some() {
+        if self.transferring.is_some() {
             return None;
         }
-        if self.config.voters.len() == 1 && self.config.voters.contains_key(&self.id) {
-            return Some(Time(u64::MAX));
+        let followed = self.followed_at()?;
+        let margin = ELECTION_TIMEOUT_MIN.0 / DRIFT_DIVISOR;
+        Some(Time(followed.0.saturating_add(ELECTION_TIMEOUT_MIN.0 - margin)))
+    }
+
+    /// When this leader sent the latest message that a majority has answered in its term:
+    /// later than then it still led, whatever the clocks show. `None` if this voter doesn't
+    /// lead or has no answer from a majority; the end of time for a sole voter.
+    pub fn followed_at(&self) -> Option<Time> {
+        if self.role != Role::Leader {
+            return None;
         }
         let acked = |id| match id == self.id {
             true => Time(u64::MAX),
             false => self.followers.get(&id).map_or(Time(0), |it| it.acked_sent),
         };
-        let quorum_acked = self.config.quorum_value(acked)?;
-        let margin = ELECTION_TIMEOUT_MIN.0 / DRIFT_DIVISOR;
-        (quorum_acked > Time(0)).then(|| quorum_acked + Millis(ELECTION_TIMEOUT_MIN.0 - margin))
+        self.config.quorum_value(acked).filter(|it| *it > Time(0))
+    }
+
+    /// Makes a leader send to all followers when it next handles the passing of time, in
+    /// a message that can be told from those sent until now.
+    pub fn hasten_heartbeat(&mut self, now: Time) {
+        self.next_heartbeat = self.next_heartbeat.min(now + Millis(1));
     }
 
     /// Appends a command to the log and returns its term and index. It is
--- /dev/null
+++ b/crates/coord/tests/voters/main.rs
@@ -0,0 +1,5 @@
+//! Voters, and the work of their leader, in a simulated cluster.
+
+mod mending;
+mod reads;
+mod voter_cluster;
--- a/crates/coord/tests/mending.rs
+++ b/crates/coord/tests/voters/mending.rs
@@ -1,10 +1,8 @@
 //! The leader repairs the set of voters without an operator.
 
-mod voter_cluster;
-
 use {
+    crate::voter_cluster::{VoterCluster, peer},
     coord::{control::first_voter, ids::NodeId},
-    voter_cluster::{VoterCluster, peer},
 };
 
 /// Starts five voters: three that found the system together and two that join.
--- a/crates/coord/tests/voter_cluster/mod.rs
+++ b/crates/coord/tests/voters/voter_cluster.rs
@@ -3,9 +3,12 @@
 
 use {
     coord::{
-        control::{Completion, RenewError, RenewRequest, Token, Voter, first_voter, first_voters},
-        ids::{Incarnation, Index, NodeId, Version},
-        raft::{Entry, HardState, LogOp, Message, RestoredState, Role},
+        control::{
+            Completion, ProposalError, RenewError, RenewRequest, Token, Voter, first_voter,
+            first_voters,
+        },
+        ids::{CatalogVersion, Incarnation, Index, NodeId, Version},
+        raft::{Entry, HardState, LogOp, Message, RestoredState},
         tables::{Command, Member},
         time::{Millis, Time},
     },
@@ -30,6 +33,29 @@
     disk: Disk,
     /// The sequence number of the latest renewal.
     seq: u64,
+    /// Whether the process and its clock stand still, and how far the clock is behind.
+    paused: bool,
+    lag: Millis,
+    /// The results of reads, in order.
+    reads: Vec<Result<(), ProposalError>>,
+}
+
+impl Node {
+    fn time(&self, now: Time) -> Time {
+        Time(now.0 - self.lag.0)
+    }
+
+    /// Keeps the results of reads, and returns the other completions.
+    fn take_completions(&mut self) -> Vec<Completion> {
+        let all = self.voter.as_mut().map(Voter::take_completions).unwrap_or_default();
+        let (reads, others): (Vec<_>, Vec<_>) =
+            all.into_iter().partition(|it| matches!(it, Completion::Read(..)));
+        self.reads.extend(reads.into_iter().filter_map(|it| match it {
+            Completion::Read(_, result) => Some(result),
+            _ => None,
+        }));
+        others
+    }
 }
 
 /// Simulated instances by number. All have a disk and repair the set of voters
@@ -88,6 +114,46 @@
         node.voter = Some(voter);
     }
 
+    /// Makes a process and its clock stand still. Messages to it are lost.
+    pub fn pause(&mut self, number: u64) {
+        self.nodes.get_mut(&number).expect("a known number").paused = true;
+    }
+
+    /// Lets a process go on, with its clock behind.
+    pub fn resume(&mut self, number: u64) {
+        self.nodes.get_mut(&number).expect("a known number").paused = false;
+    }
+
+    /// Whether an instance leads, and has a lease by its own clock.
+    pub fn trusts_lease(&self, number: u64) -> bool {
+        let node = &self.nodes[&number];
+        let raft = node.voter.as_ref().expect("it runs").raft();
+        raft.has_committed_in_term() && raft.lease().is_some_and(|it| it > node.time(self.now))
+    }
+
+    /// Proposes a command at the leader.
+    pub fn propose(&mut self, command: Command) {
+        let now = self.now;
+        let number = self.leader().expect("an instance leads");
+        self.voter(number).expect("it runs").propose(now, Token(number), command);
+    }
+
+    /// The version of the catalog that an instance has applied.
+    pub fn catalog(&self, number: u64) -> CatalogVersion {
+        self.nodes[&number].voter.as_ref().expect("it runs").state().tables.catalog.version
+    }
+
+    /// Reads the state of an instance.
+    pub fn read(&mut self, number: u64) {
+        let now = self.nodes[&number].time(self.now);
+        self.voter(number).expect("it runs").read(now, Token(number));
+    }
+
+    /// The results of the reads of an instance, in order.
+    pub fn reads(&self, number: u64) -> &[Result<(), ProposalError>] {
+        &self.nodes[&number].reads
+    }
+
     /// Replaces a running instance by a new one with an empty disk, 500 ms later.
     pub fn wipe(&mut self, number: u64) {
         self.wipe_all(&[number]);
@@ -102,13 +168,11 @@
 
     /// The number of the instance that leads with a valid lease, if there is one.
     pub fn leader(&self) -> Option<u64> {
-        let leads = |it: &Node| {
-            let raft = it.voter.as_ref().map(Voter::raft);
-            raft.is_some_and(|it| {
-                it.has_committed_in_term() && it.lease().is_some_and(|end| end > self.now)
-            })
+        let leads = |number: &u64| {
+            let node = &self.nodes[number];
+            node.voter.is_some() && !node.paused && self.trusts_lease(*number)
         };
-        self.nodes.iter().find(|(_, it)| leads(it)).map(|(number, _)| *number)
+        self.nodes.keys().copied().find(leads)
     }
 
     /// The voters of the configuration that the leader has committed; empty
@@ -170,7 +234,15 @@
     }
 
     fn add(&mut self, number: u64, id: NodeId) {
-        let node = Node { id, voter: None, disk: Disk::default(), seq: 0 };
+        let node = Node {
+            id,
+            voter: None,
+            disk: Disk::default(),
+            seq: 0,
+            paused: false,
+            lag: Millis(0),
+            reads: Vec::new(),
+        };
         self.nodes.insert(number, node);
         self.start(number);
     }
@@ -184,14 +256,21 @@
         let now = self.now;
         for (from, to, message) in std::mem::take(&mut self.in_flight) {
             let node = self.nodes.values_mut().find(|it| it.id == to);
-            if let Some(voter) = node.and_then(|it| it.voter.as_mut()) {
-                voter.step(now, from, message);
+            if let Some(node) = node.filter(|it| !it.paused) {
+                let now = node.time(now);
+                node.voter.iter_mut().for_each(|it| it.step(now, from, message.clone()));
             }
         }
         let numbers: Vec<u64> = self.nodes.keys().copied().collect();
         for number in numbers {
-            if let Some(voter) = self.voter(number) {
-                voter.tick(now);
+            let node = self.nodes.get_mut(&number).expect("a known number");
+            if node.paused {
+                node.lag = Millis(node.lag.0 + STEP.0);
+                continue;
+            }
+            let local = node.time(now);
+            if let Some(voter) = &mut node.voter {
+                voter.tick(local);
             }
             if now.0 % RENEW_INTERVAL_MS < STEP.0 {
                 self.renew(number);
@@ -234,9 +313,10 @@
             cut: false,
             leaving: false,
         };
-        let voter = self.voter(leader).expect("the leader runs");
-        voter.renew(now, Token(number), request);
-        let refused = voter.take_completions().into_iter().any(|it| {
+        let at = self.nodes.get_mut(&leader).expect("the leader runs");
+        let now = at.time(now);
+        at.voter.as_mut().expect("the leader runs").renew(now, Token(number), request);
+        let refused = at.take_completions().into_iter().any(|it| {
             matches!(it, Completion::Renewal(_, result) if matches!(*result, Err(RenewError::NotMember)))
         });
         if refused {
@@ -258,20 +338,18 @@
     fn flush(&mut self, number: u64) {
         let now = self.now;
         let node = self.nodes.get_mut(&number).expect("a known number");
+        let local = node.time(now);
         let Some(voter) = &mut node.voter else {
             return;
         };
         let mut sent = voter.raft_mut().take_ready();
         while let Some(batch) = voter.raft_mut().take_batch() {
             batch.ops.iter().for_each(|it| node.disk.write(it));
-            voter.synced(now, batch.last);
+            voter.synced(local, batch.last);
             sent.extend(batch.after_sync);
             sent.extend(voter.raft_mut().take_ready());
         }
-        let not_leader = voter.raft().role() != Role::Leader;
-        if not_leader {
-            voter.take_completions();
-        }
+        node.take_completions();
         let from = node.id;
         self.in_flight.extend(sent.into_iter().map(|it| (from, it.to, it.message)));
     }
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -21,8 +21,8 @@
     },
     coord::{
         control::{
-            Completion, Deregistrations, Envelope, LeaseHolder, PeerGuard, Token, Voter,
-            first_voters,
+            Completion, Deregistrations, Envelope, LeaseHolder, PeerGuard, ProposalError, Token,
+            Voter, first_voters,
         },
         ids::{Class, Index, NodeId, PoolName, RequestId, RouteName, TeamName, Term},
         limits::SharedGate,
@@ -69,8 +69,13 @@
     Admin { call: Box<OperatorCall>, deadline: Time },
     Peer(Responder),
     Lookup(Box<Lookup>),
+    Read(ReadHandler),
 }
 
+/// Continues with a read once this instance is known to have led after it came in, or not
+/// to lead.
+pub(super) type ReadHandler = Box<dyn FnOnce(&mut Core, Time, Result<(), ProposalError>)>;
+
 /// A voter's view of its Raft group, as it is logged.
 #[derive(PartialEq)]
 struct VoterView {
@@ -361,6 +366,11 @@
             match it {
                 Completion::Proposal(token, result) => self.on_proposal_done(now, token, result),
                 Completion::Renewal(token, result) => self.on_renewal_done(now, token, *result),
+                Completion::Read(token, result) => {
+                    if let Some(Pending::Read(handle)) = self.pending.shift_remove(&token) {
+                        handle(self, now, result);
+                    }
+                }
             }
         }
         self.start_sync();
--- a/crates/daemon/src/core/operators.rs
+++ b/crates/daemon/src/core/operators.rs
@@ -103,9 +103,32 @@
         }
     }
 
-    /// Answers an operator's request as the leader. Requires the leader's lease, so
-    /// that a deposed leader doesn't answer from outdated state.
-    pub(super) fn answer_admin(
+    /// Serves an operator's request if this instance leads. Reads wait until a majority has
+    /// confirmed that it does, so that a deposed leader answers none from outdated state.
+    pub(super) fn serve_admin(
+        &mut self,
+        now: Time,
+        admin: AdminRequest,
+        respond: impl FnOnce(&mut Self, Time, Result<AdminAnswer, ProposalError>) + 'static,
+    ) {
+        if admin.is_change() {
+            let answer = self.answer_admin(now, &admin);
+            return respond(self, now, answer);
+        }
+        let token = self.next_token();
+        let Some(voter) = &mut self.voter else {
+            return respond(self, now, Err(ProposalError::NotLeader { leader: None }));
+        };
+        let handle = move |core: &mut Self, now, confirmed: Result<(), ProposalError>| {
+            let answer = confirmed.and_then(|()| core.answer_admin(now, &admin));
+            respond(core, now, answer);
+        };
+        self.pending.insert(token, Pending::Read(Box::new(handle)));
+        voter.read(now, token);
+    }
+
+    /// Answers an operator's request as the leader, which needs a lease.
+    fn answer_admin(
         &mut self,
         now: Time,
         admin: &AdminRequest,
@@ -152,8 +175,10 @@
             unreachable!("only admin requests are forwarded to the leader");
         };
         if self.leads() {
-            let answer = self.answer_admin(now, &admin);
-            self.on_admin_answer(now, call, deadline, Ok(answer));
+            let respond = move |core: &mut Self, now, answer| {
+                core.on_admin_answer(now, call, deadline, Ok(answer));
+            };
+            self.serve_admin(now, admin, respond);
             return;
         }
         let Some(to) = self.leader_addr().filter(|_| self.identity.system.is_some()) else {
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -62,8 +62,11 @@
                 let _ = respond.send(PeerAnswer::Stream(answer.unwrap_or_else(unknown)));
             }
             PeerCall::Admin(admin) => {
-                let answer = self.answer_admin(now, &admin);
-                let _ = respond.send(PeerAnswer::Admin(answer));
+                let respond = |_: &mut Self, _, answer| {
+                    // The peer doesn't wait any more.
+                    let _ = respond.send(PeerAnswer::Admin(answer));
+                };
+                self.serve_admin(now, admin, respond);
             }
         }
     }
@@ -113,7 +116,7 @@
                 });
                 self.on_lookup_answer(now, *lookup, result);
             }
-            Pending::Peer(_) => {}
+            Pending::Peer(_) | Pending::Read(_) => {}
         }
     }
 
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -46,6 +46,13 @@
     RemoveVoter(InstanceName),
 }
 
+impl AdminRequest {
+    /// Whether it changes something.
+    pub fn is_change(&self) -> bool {
+        matches!(self, Self::AddVoter(_) | Self::RemoveVoter(_))
+    }
+}
+
 /// The leader's answer to an operator.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
