Send each endpoint that starts to an instance once, packed for all

Cause: an instance more than 128 changes behind was sent the whole tables, unpacked and encoded for each receiver. With 300 instances news waits 0.3 s, in which more endpoints than that may start, so that each of 300 instances was sent all endpoints anew every 0.3 s. The class is that of the configurations that never arrive: what one change costs grows with all that there is, times the instances. Now deltas are sent as long as they are smaller than the whole tables; these and larger rows of deltas are packed once and shared. Earlier builds get what they got before (packed_tables in a renewal says what is read).

--- a/crates/coord/src/control/holder.rs
+++ b/crates/coord/src/control/holder.rs
@@ -5,7 +5,7 @@
     crate::{
         catalog::CatalogDeltaError,
         ids::{Index, Term},
-        tables::Tables,
+        tables::{Delta, Tables},
         time::Time,
     },
     std::sync::Arc,
@@ -109,7 +109,8 @@
     /// the deltas before the one that failed.
     fn apply_update(&mut self, update: Update, index: Index) -> Result<bool, CatalogDeltaError> {
         let previous = self.index;
-        let is_whole = matches!(update, Update::Full(_) | Update::Packed { .. });
+        let is_whole =
+            matches!(update, Update::Full(_) | Update::Packed { .. } | Update::PackedTables { .. });
         if previous == Index(0) && !is_whole {
             // A late reply to a renewal from before a failed update.
             return Ok(false);
@@ -122,13 +123,24 @@
                 let catalog = Arc::new(catalog.open()?);
                 self.tables = Arc::new(Tables { catalog, ..*tables });
             }
-            Update::Deltas(deltas) => {
-                let tables = Arc::make_mut(&mut self.tables);
-                for (_, delta) in deltas.iter().filter(|(at, _)| *at > previous) {
-                    tables.apply(delta)?;
-                }
+            Update::PackedTables { tables, catalog } => {
+                let (tables, catalog) = (tables.open()?, Arc::new(catalog.open()?));
+                self.tables = Arc::new(Tables { catalog, ..tables });
             }
+            Update::Deltas(deltas) => self.apply_deltas(&deltas, previous)?,
+            Update::PackedDeltas(deltas) => self.apply_deltas(&deltas.open()?, previous)?,
         }
         Ok(true)
     }
+
+    /// Applies the deltas after an index.
+    fn apply_deltas(
+        &mut self,
+        deltas: &[(Index, Delta)],
+        previous: Index,
+    ) -> Result<(), CatalogDeltaError> {
+        let tables = Arc::make_mut(&mut self.tables);
+        let mut new = deltas.iter().filter(|(at, _)| *at > previous);
+        new.try_for_each(|(_, delta)| tables.apply(delta))
+    }
 }
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -27,7 +27,7 @@
     deregistrations::{DeregistrationStep, Deregistrations},
     endpoints::EndpointTable,
     envelope::{Envelope, PeerRefusal},
-    feed::Feed,
+    feed::{Feed, UpdateForm},
     founding::{first_voter, first_voters, founded_system},
     guard::PeerGuard,
     holder::{HolderChange, LeaseHolder},
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -67,9 +67,12 @@
     /// `None` from an instance of an earlier build.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<LimitRequest>,
-    /// Whether the instance reads packed updates; earlier builds don't.
+    /// Whether the instance reads packed catalogs; earlier builds don't.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub packed: bool,
+    /// Whether the instance reads packed deltas and tables too; earlier builds don't.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub packed_tables: bool,
     /// Whether the instance reaches no endpoints.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub cut: bool,
@@ -152,6 +155,14 @@
         tables: Box<Tables>,
         catalog: Packed<Catalog>,
     },
+    /// Deltas, for an instance that reads packed ones.
+    PackedDeltas(Packed<Vec<(Index, Delta)>>),
+    /// The whole tables, with the catalog apart from them, for an instance that reads them
+    /// packed.
+    PackedTables {
+        tables: Packed<Tables>,
+        catalog: Packed<Catalog>,
+    },
 }
 
 /// The leader's reply to a renewal.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Completion, EndpointReport, Grants, Holding, LEASE_DURATION, LEASE_MARGIN, LeaseRow,
-        RenewError, RenewReply, RenewRequest, ShareHolder, Token, Update, Voter,
+        RenewError, RenewReply, RenewRequest, ShareHolder, Token, Update, UpdateForm, Voter,
         voter::{Renewal, Revisions, Told},
     },
     crate::{
@@ -221,16 +221,19 @@
 
     fn reply(&mut self, request: &RenewRequest, grants: Option<Grants>) -> RenewReply {
         let tables = &self.state.tables;
-        let update = match request.packed {
-            true => self.feed.update(request.applied, tables),
-            false => self.feed.unpacked_update(request.applied, tables),
+        let form = match (request.packed, request.packed_tables) {
+            (false, _) => UpdateForm::Plain,
+            (true, false) => UpdateForm::PackedCatalog,
+            (true, true) => UpdateForm::Packed,
         };
+        let update = self.feed.update(request.applied, form, tables);
         let size = self.feed.update_size(request.applied, &update);
-        self.update_stats.record(request.node, request.applied, &update, size);
+        let count = self.feed.count_after(request.applied);
+        self.update_stats.record(request.node, request.applied, &update, (count, size));
         let index = match update {
             Update::Same => request.applied,
-            Update::Deltas(_) => self.feed.last(),
-            Update::Full(_) | Update::Packed { .. } => self.applied,
+            Update::Deltas(_) | Update::PackedDeltas(_) => self.feed.last(),
+            Update::Full(_) | Update::Packed { .. } | Update::PackedTables { .. } => self.applied,
         };
         let loads = grants.iter().flat_map(|it| &it.shares).filter_map(|it| self.load_of(it));
         RenewReply {
--- a/crates/coord/src/control/update_stats.rs
+++ b/crates/coord/src/control/update_stats.rs
@@ -16,7 +16,7 @@
     /// same index before.
     pub repeated: u64,
     pub deltas: u64,
-    /// The size of the deltas and of the catalogs in whole tables.
+    /// The size of the deltas and of whole tables, as far as they are packed.
     pub bytes: Bytes,
 }
 
@@ -28,21 +28,28 @@
 }
 
 impl UpdateStats {
-    /// Records the update sent to an instance that has applied everything up to `from`.
-    pub fn record(&mut self, node: NodeId, from: Index, update: &Update, size: Bytes) {
+    /// Records the update sent to an instance that has applied everything up to `from`,
+    /// with the number of deltas after that and the update's size.
+    pub fn record(
+        &mut self,
+        node: NodeId,
+        from: Index,
+        update: &Update,
+        (count, size): (u64, Bytes),
+    ) {
         let deltas = match update {
             Update::Same => {
                 self.sent_from.swap_remove(&node);
                 return;
             }
-            Update::Deltas(deltas) => deltas.len() as u64,
-            Update::Full(_) | Update::Packed { .. } => 0,
+            Update::Deltas(_) | Update::PackedDeltas(_) => Some(count),
+            Update::Full(_) | Update::Packed { .. } | Update::PackedTables { .. } => None,
         };
         let repeated = self.sent_from.insert(node, from) == Some(from);
         self.counts.updates += 1;
-        self.counts.whole += u64::from(!matches!(update, Update::Deltas(_)));
+        self.counts.whole += u64::from(deltas.is_none());
         self.counts.repeated += u64::from(repeated);
-        self.counts.deltas += deltas;
+        self.counts.deltas += deltas.unwrap_or_default();
         self.counts.bytes.0 += size.0;
     }
 
--- a/crates/coord/tests/catalog_delta.rs
+++ b/crates/coord/tests/catalog_delta.rs
@@ -6,10 +6,10 @@
             Catalog, CatalogDelta, CatalogLimits, ColdBound, RelayRoute, RetryPolicy, Service,
             Split, TeamEntry,
         },
-        control::{Feed, LeaseHolder, RenewReply, Update},
-        ids::{Bytes, CatalogVersion, Index, PoolName, Term},
+        control::{Feed, LeaseHolder, RenewReply, Update, UpdateForm},
+        ids::{Bytes, CatalogVersion, Generation, Index, PoolName, Slots, Term},
         packed::Packed,
-        tables::{Command, Delta, State, Tables},
+        tables::{Command, Delta, Endpoint, EndpointState, State, Tables},
         time::{Millis, Time},
     },
     rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom},
@@ -92,6 +92,70 @@
     }
 }
 
+/// A form of updates that instances of this build or of an earlier one read.
+fn any_form(rng: &mut StdRng) -> UpdateForm {
+    match rng.random_range(0..3) {
+        0 => UpdateForm::Plain,
+        1 => UpdateForm::PackedCatalog,
+        _ => UpdateForm::Packed,
+    }
+}
+
+/// Adds an endpoint to the state and to the feed.
+fn announce(state: &mut State, feed: &mut Feed, index: u64) {
+    let endpoint = Endpoint {
+        name: format!("endpoint-{index}").parse().expect("a name"),
+        pool: "pool".parse().expect("a name"),
+        domain: "d".parse().expect("a name"),
+        addr: ([10, 0, (index >> 8) as u8, index as u8], 7000).into(),
+        generation: Generation(index),
+        state: EndpointState::Warm,
+        slots: Slots(8),
+        cold_slots: Slots(8),
+        version: None,
+    };
+    let applied = state.apply(Index(index), &Command::Endpoint(endpoint));
+    feed.push(Index(index), applied.delta.expect("the endpoint is new"));
+}
+
+#[test]
+fn copies_follow_packed_deltas_and_packed_tables() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let (mut state, mut feed) = (State::default(), Feed::start(Index(0)));
+    let mut holder = LeaseHolder::new();
+    feed.push(Index(1), put(&mut state, 1, random_catalog(1, &mut rng)));
+    (2..100).for_each(|it| announce(&mut state, &mut feed, it));
+
+    let whole = feed.update(Index(0), UpdateForm::Packed, &state.tables);
+    assert!(matches!(whole, Update::PackedTables { .. }));
+    holder.apply_reply(Time(1), Time(1), reply(whole, 99));
+    assert_eq!(**holder.tables(), state.tables);
+
+    (100..400).for_each(|it| announce(&mut state, &mut feed, it));
+    let deltas = feed.update(Index(99), UpdateForm::Packed, &state.tables);
+    assert!(matches!(deltas, Update::PackedDeltas(_)));
+    holder.apply_reply(Time(1), Time(1), reply(deltas, 399));
+    assert_eq!(**holder.tables(), state.tables);
+}
+
+#[test]
+fn an_instance_that_reads_packed_catalogs_is_sent_nothing_else_packed() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let (mut state, mut feed) = (State::default(), Feed::start(Index(0)));
+    feed.push(Index(1), put(&mut state, 1, random_catalog(1, &mut rng)));
+    (2..400).for_each(|it| announce(&mut state, &mut feed, it));
+
+    let forms: Vec<Update> = [0, 1, 380]
+        .into_iter()
+        .map(|it| feed.update(Index(it), UpdateForm::PackedCatalog, &state.tables))
+        .collect();
+
+    assert!(
+        matches!(forms[..], [Update::Packed { .. }, Update::Packed { .. }, Update::Deltas(_)]),
+        "{forms:?}"
+    );
+}
+
 #[test]
 fn a_difference_leads_to_the_same_content_whatever_the_order_of_rows() {
     for seed in 0..SEEDS {
@@ -137,7 +201,7 @@
         for index in 1..=20 {
             let delta = put(&mut state, index, random_catalog(index, &mut rng));
             feed.push(Index(index), delta);
-            let it = reply(feed.update(holder.index(), &state.tables), index);
+            let it = reply(feed.update(holder.index(), any_form(&mut rng), &state.tables), index);
             if rng.random_bool(0.6) {
                 holder.apply_reply(Time(1), Time(1), it.clone());
             }
@@ -148,7 +212,7 @@
             }
         }
 
-        let last = reply(feed.update(holder.index(), &state.tables), 20);
+        let last = reply(feed.update(holder.index(), any_form(&mut rng), &state.tables), 20);
         let change = holder.apply_reply(Time(1), Time(1), last);
 
         assert_eq!(change.failure, None, "seed {seed}");
@@ -162,7 +226,7 @@
     let (mut state, mut feed) = (State::default(), Feed::start(Index(0)));
     let mut holder = LeaseHolder::new();
     feed.push(Index(1), put(&mut state, 1, random_catalog(1, &mut rng)));
-    let whole = feed.update(Index(0), &state.tables);
+    let whole = feed.update(Index(0), UpdateForm::Packed, &state.tables);
     holder.apply_reply(Time(1), Time(1), reply(whole, 1));
     let strange = CatalogDelta::between(&random_catalog(7, &mut rng), &random_catalog(8, &mut rng));
     let strange = Update::Deltas(vec![(Index(2), Delta::CatalogEdit(Packed::new(&strange)))]);
@@ -174,7 +238,7 @@
     let late = Update::Same;
     holder.apply_reply(Time(1), Time(1), reply(late, 2));
     assert_eq!(holder.index(), Index(0), "a late reply doesn't hide that");
-    let whole = feed.update(holder.index(), &state.tables);
+    let whole = feed.update(holder.index(), UpdateForm::Packed, &state.tables);
     holder.apply_reply(Time(1), Time(1), reply(whole, 1));
     assert_eq!(*holder.tables().catalog, *state.tables.catalog);
 }
@@ -187,7 +251,7 @@
         feed.push(Index(index), put(&mut state, index, random_catalog(index, &mut rng)));
     }
 
-    let update = feed.unpacked_update(Index(1), &state.tables);
+    let update = feed.update(Index(1), UpdateForm::Plain, &state.tables);
 
     let Update::Full(tables) = update else {
         panic!("not the whole tables: {update:?}");
--- a/crates/coord/tests/large_catalogs.rs
+++ b/crates/coord/tests/large_catalogs.rs
@@ -5,7 +5,7 @@
         catalog::{
             Catalog, CatalogLimits, ColdBound, RelayRoute, RetryPolicy, Service, Split, TeamEntry,
         },
-        control::{Completion, Feed, Token, Voter},
+        control::{Completion, Feed, Token, UpdateForm, Voter},
         ids::{Bytes, CatalogVersion, Index, NodeId, PoolName},
         raft::{Config, RestoredState},
         size::json_size,
@@ -78,7 +78,7 @@
 
 /// The size of the update of an instance that has applied everything up to an index.
 fn update_size(state: &State, feed: &mut Feed, applied: u64) -> Bytes {
-    json_size(&feed.update(Index(applied), &state.tables))
+    json_size(&feed.update(Index(applied), UpdateForm::Packed, &state.tables))
 }
 
 /// Makes all writes of a voter durable.
--- a/crates/coord/tests/large_fleets.rs
+++ b/crates/coord/tests/large_fleets.rs
@@ -5,9 +5,10 @@
         control::{
             Completion, Demand, Holding, RenewError, RenewReply, RenewRequest, Token, Update, Voter,
         },
-        ids::{ChangeId, Generation, Incarnation, Index, NodeId, PoolName, Slots, Version},
+        ids::{Bytes, ChangeId, Generation, Incarnation, Index, NodeId, PoolName, Slots, Version},
         limits::{LimitListUpdate, LimitRequest},
         raft::{Config, ELECTION_TIMEOUT_MIN, Entry, HardState, LogOp, RestoredState},
+        size::json_size,
         tables::{
             Change, Command, Edit, Endpoint, EndpointState, Member, Pool, PoolKind, Route, Stage,
         },
@@ -25,6 +26,9 @@
 /// The share of a core that a control node has in the deployments.
 const CORES: f64 = 0.6;
 
+/// What the link of an instance that relays requests takes in a second, by the deployments.
+const ENTRY_LINK: Bytes = Bytes(10_000_000 / 8);
+
 /// The part of the election timeout that one step of a leader may take.
 fn longest_step() -> Duration {
     Duration::from_secs_f64(ELECTION_TIMEOUT_MIN.0 as f64 / 1000.0 / 10.0 * CORES)
@@ -105,6 +109,8 @@
     /// The number of the list of limits that it holds.
     limits: u64,
     replies: u64,
+    /// The size of the updates that it has got.
+    updates: Bytes,
     /// Whether the leader knows what it holds.
     is_known: bool,
     /// Whether its renewals get lost.
@@ -207,6 +213,7 @@
         let it = &mut self.instances[node];
         let reply = result.expect("a leader answers");
         it.replies += 1;
+        it.updates.0 += json_size(&reply.update).0;
         it.cut = reply.cut.clone();
         it.is_known = !reply.want_holdings;
         it.wants_holdings = reply.want_holdings;
@@ -245,6 +252,7 @@
             answered_pools: Vec::new(),
             limits: Some(LimitRequest { list: it.limits, ..LimitRequest::default() }),
             packed: true,
+            packed_tables: true,
             cut: false,
             leaving: false,
         }
@@ -366,6 +374,25 @@
     assert!(fleet.instances.iter().all(|it| it.applied == last), "all know the last change");
 }
 
+#[test]
+fn endpoints_that_start_together_take_a_tenth_of_each_instances_link() {
+    let mut fleet = Fleet::new(300, 10, false);
+    fleet.run_until_known();
+    fleet.run(Millis(1000));
+    fleet.instances.iter_mut().for_each(|it| it.updates = Bytes(0));
+
+    for batch in 0..1000 {
+        (0..3).for_each(|it| fleet.propose(endpoint(3 * batch + it, 2)));
+        fleet.run(STEP);
+    }
+    fleet.run(Millis(1000));
+
+    let last = fleet.voter.applied();
+    assert!(fleet.instances.iter().all(|it| it.applied == last), "all know the last endpoint");
+    let most = fleet.instances.iter().map(|it| it.updates.0).max().unwrap_or_default();
+    assert!(most <= ENTRY_LINK.0 * 5 / 10, "{most} bytes in 5 s");
+}
+
 #[test]
 fn a_change_after_a_quiet_time_is_told_at_once() {
     let mut fleet = Fleet::new(410, 630, false);
--- a/crates/coord/tests/voters/voter_cluster.rs
+++ b/crates/coord/tests/voters/voter_cluster.rs
@@ -310,6 +310,7 @@
             answered_pools: Vec::new(),
             limits: None,
             packed: true,
+            packed_tables: true,
             cut: false,
             leaving: false,
         };
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -398,6 +398,7 @@
             answered_pools: unsettled.answered_pools.into_iter().collect(),
             limits: Some(limits),
             packed: true,
+            packed_tables: true,
             cut: self.renewals.cut,
             leaving,
         }
