Refuse requests that a planned stop would cut off before they are passed on

Callers would see: a request that came late in a stop is passed on and cut without an answer at its end, also one that may not be repeated. Cause: only the head of a request was checked against the stop. One whose body came after the instance had closed, or that waited for an endpoint's pause, was passed on however little time was left. Now a body that is complete only after the close is refused, and so is a request that hasn't been sent anywhere when less time is left than it is expected to take; both by 503, which is true, to come back at once.

--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -8,7 +8,10 @@
         raft::Role,
         time::{Millis, Time},
     },
-    std::process::ExitCode,
+    std::{
+        process::ExitCode,
+        time::{Duration, Instant},
+    },
 };
 
 /// The time for the last bytes to reach callers.
@@ -31,6 +34,8 @@
         if self.stop.is_none() {
             log::info!(held = self.drain.active(); "[stop] A graceful shutdown has started.");
             self.drain.enter(DrainPhase::Leaving);
+            let bound = Duration::from_millis(self.settings.stop_bound.0);
+            self.drain.end_at(Instant::now() + bound);
             self.stop = Some(Stop { started_at: now, idle_at: None, released: false });
         }
     }
--- a/crates/daemon/src/relay/drain_state.rs
+++ b/crates/daemon/src/relay/drain_state.rs
@@ -1,9 +1,12 @@
 //! State of a graceful shutdown, shared between the core loop and the relay.
 
 use {
-    std::sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc, OnceLock,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
     },
     tokio::sync::watch,
 };
@@ -26,6 +29,8 @@
 pub struct DrainState {
     phase: watch::Sender<DrainPhase>,
     active: AtomicUsize,
+    /// When the process ends at the latest.
+    ends_at: OnceLock<Instant>,
 }
 
 /// Counts one request as active until dropped.
@@ -46,6 +51,17 @@
         *self.phase.borrow()
     }
 
+    /// Sets when the process ends at the latest. Only the first call counts.
+    pub fn end_at(&self, end: Instant) {
+        self.ends_at.get_or_init(|| end);
+    }
+
+    /// Whether the process may end within a time.
+    pub fn ends_within(&self, time: Duration) -> bool {
+        let left = self.ends_at.get().map(|it| it.saturating_duration_since(Instant::now()));
+        left.is_some_and(|it| it <= time)
+    }
+
     /// Waits for [`DrainPhase::Closed`].
     pub async fn closed(&self) {
         // This can't fail: `self` keeps the sender alive.
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -3,10 +3,10 @@
 
 use {
     super::{
-        HeaderNames,
+        DrainPhase, HeaderNames,
         body_check::BodyCheck,
         crash_watch::AttemptWatch,
-        front::RETRY_AFTER_WITHHELD,
+        front::{RETRY_AFTER_STOPPING, RETRY_AFTER_WITHHELD},
         hand_over::HandOver,
         record::{RequestRecord, join_parts},
         relay::Relay,
@@ -95,6 +95,9 @@
             if self.may_hand_over(&attempts) {
                 return self.hand_over(attempts.may_have_run()).await;
             }
+            if !attempts.may_have_run() && self.would_be_cut_off() {
+                return self.deny_stopping();
+            }
             let suspects = self.request.parts.iter().chain([&self.whole]);
             if self.relay.view().is_withheld(&self.request.pool, suspects) {
                 return match attempts.may_have_run() {
@@ -199,6 +202,13 @@
         self.relay.reach.is_cut() && !self.request.handed && repeatable
     }
 
+    /// Whether a graceful shutdown would end before the request does.
+    fn would_be_cut_off(&self) -> bool {
+        let run = self.relay.expected_run_time(&self.request.pool, self.body.len());
+        let drain = &self.relay.drain;
+        drain.phase() == DrainPhase::Closed && drain.ends_within(Duration::from_millis(run.0))
+    }
+
     async fn hand_over(self, may_have_run: bool) -> RelayResponse {
         self.results.close();
         let Self { relay, request, body, record, .. } = self;
@@ -403,6 +413,11 @@
         deny(denial, after)
     }
 
+    fn deny_stopping(mut self) -> RelayResponse {
+        self.record.finish(Denial::Stopping.name());
+        deny(Denial::Stopping, Some(RETRY_AFTER_STOPPING))
+    }
+
     fn deny_withheld(mut self) -> RelayResponse {
         self.record.finish(Denial::Withheld.name());
         deny(Denial::Withheld, Some(RETRY_AFTER_WITHHELD))
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -48,6 +48,8 @@
 /// `Retry-After` of requests that take up a stream whose origin isn't certain: callers
 /// may begin anew at once.
 const RETRY_AFTER_UNRESUMABLE: Millis = Millis(100);
+/// `Retry-After` of an instance that is stopping: others serve at once.
+pub const RETRY_AFTER_STOPPING: Millis = Millis(0);
 /// `Retry-After` while this instance has no catalog yet.
 const RETRY_AFTER_UNREADY: Millis = Millis(200);
 
@@ -167,13 +169,7 @@
                 "[relay] refused"
             );
             counter!("mangobend_relay_refused_total", "reason" => denial.name()).increment(1);
-            let after = match denial {
-                Denial::NoCatalog => Some(RETRY_AFTER_UNREADY),
-                Denial::Stopping => Some(Millis(0)),
-                Denial::Withheld => Some(RETRY_AFTER_WITHHELD),
-                _ => None,
-            };
-            return deny(denial, after);
+            return deny(denial, retry_after(denial));
         }
     };
     let mut request = request;
@@ -204,6 +200,16 @@
     response
 }
 
+/// Returns after which time a request that was refused before it was passed on may come back.
+fn retry_after(denial: Denial) -> Option<Millis> {
+    match denial {
+        Denial::NoCatalog => Some(RETRY_AFTER_UNREADY),
+        Denial::Stopping => Some(RETRY_AFTER_STOPPING),
+        Denial::Withheld => Some(RETRY_AFTER_WITHHELD),
+        _ => None,
+    }
+}
+
 /// Restricts a request that takes up a stream to what the stream came from.
 ///
 /// # Errors
@@ -247,7 +253,7 @@
         }
         Err(denial) => {
             record.finish(denial.name());
-            let mut response = deny(denial, None);
+            let mut response = deny(denial, retry_after(denial));
             add_request_id(&mut response, &request, name);
             response
         }
@@ -255,9 +261,13 @@
 }
 
 /// Reads the body within its bound and the request's deadline.
+///
+/// # Errors
+/// That fails, or this instance has closed to new requests meanwhile.
 async fn read_body(relay: &Relay, request: &RelayRequest, body: Incoming) -> Result<Bytes, Denial> {
     let limit = relay.view().catalog().limits.max_body.0 as usize;
     match timeout_at(request.deadline.into(), Limited::new(body, limit).collect()).await {
+        Ok(Ok(_)) if relay.drain.phase() == DrainPhase::Closed => Err(Denial::Stopping),
         Ok(Ok(it)) => Ok(it.to_bytes()),
         Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Denial::TooLarge),
         Ok(Err(_)) => Err(Denial::Malformed),
@@ -271,7 +281,7 @@
     request: &RelayRequest,
     body: Incoming,
 ) -> Result<(Bytes, Suspect, StageResults), (Denial, Option<Millis>)> {
-    let body = read_body(relay, request, body).await.map_err(|denial| (denial, None))?;
+    let body = read_body(relay, request, body).await.map_err(|it| (it, retry_after(it)))?;
     let whole = Suspect::Request(request.digest(&body));
     let view = relay.view();
     let pools = request.route.stages.iter().map(|it| &it.pool).chain([&request.pool]);
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -11,6 +11,7 @@
         time::Millis,
     },
     daemon::relay::{BatcherEvent, DrainPhase, PieceError, PieceInput, StageReply, StageRequest},
+    harness::{LONG_TIMEOUT, wait_until},
     relaying::{
         Fixture, call, catalog, connect, endpoint, exchange, healthy, member, not_run,
         read_response, request, route, scripted, signed_ok, signed_response, stage, start,
@@ -357,6 +358,47 @@
     assert_eq!(backend.received().len(), 3);
 }
 
+#[test]
+fn a_request_whose_body_comes_after_a_stop_has_closed_is_refused_and_not_passed_on() {
+    let backend = healthy("fine");
+    let relay = start(catalog(route(RetryPolicy::Once)), &app_endpoint(&backend));
+    let mut late = connect(&relay);
+    let text = request("id1", "", "body");
+    let (head, body) = text.split_at(text.len() - 2);
+    late.write_all(head.as_bytes()).expect("the head is sent");
+    wait_until("the request is known", LONG_TIMEOUT, || relay.drain.active() == 1);
+
+    relay.drain.enter(DrainPhase::Closed);
+    late.write_all(body.as_bytes()).expect("the rest of the body is sent");
+    let got = read_response(&mut late);
+
+    assert_eq!((got.status, got.header("retry-after")), (503, Some("0.00")));
+    assert!(backend.received().is_empty());
+}
+
+#[test]
+fn a_waiting_request_that_a_stop_would_cut_off_is_refused_and_not_passed_on() {
+    let backend = scripted(|seen, number| match number {
+        0 => {
+            let head = "mangobend-not-run: 1\r\nretry-after: 1\r\ncontent-length: 0\r\n";
+            vec![Step::Send(format!("HTTP/1.1 503 Busy\r\n{head}\r\n").into())]
+        }
+        _ => vec![Step::Send(signed_ok(seen, "fine"))],
+    });
+    let relay = start(catalog(route(RetryPolicy::Once)), &app_endpoint(&backend));
+    assert_eq!(call(&relay, &request("id1", "", "")).status, 503);
+    let mut waiting = connect(&relay);
+    waiting.write_all(request("id2", "", "").as_bytes()).expect("the request is sent");
+    wait_until("the request is known", LONG_TIMEOUT, || relay.drain.active() == 1);
+
+    relay.drain.end_at(Instant::now());
+    relay.drain.enter(DrainPhase::Closed);
+    let got = read_response(&mut waiting);
+
+    assert_eq!((got.status, got.header("retry-after")), (503, Some("0.00")));
+    assert_eq!(backend.received().len(), 1);
+}
+
 #[test]
 fn stages_run_before_the_request_and_their_results_are_freed() {
     let pieces = scripted(|seen, _| {
