Test answers that end inside their head

Reported by other operators: a 200 with an empty or short body, framed as whole, made of an answer whose head was cut. Ruled out here for the relay: 31 cuts of the head, of an answer and of a stream each, all give 502. The own interface, which reads answers with ureq, wasn't tried.

--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -399,6 +399,23 @@
     assert_eq!(backend.received().len(), 1);
 }
 
+#[test]
+fn an_answer_that_ends_inside_its_head_is_no_success() {
+    let whole = b"HTTP/1.1 200 OK\r\nmangobend-request: id\r\nmangobend-signature: s\r\n\
+                  content-length: 2\r\n\r\n";
+    for policy in [RetryPolicy::Once, RetryPolicy::Stream] {
+        for cut in (0..whole.len()).step_by(3).chain([whole.len() - 2, whole.len() - 1]) {
+            let backend = scripted(move |_, _| vec![Step::Send(whole[..cut].into()), Step::Close]);
+            let relay = start(catalog(route(policy)), &app_endpoint(&backend));
+
+            let got = call(&relay, &request("id", "", ""));
+
+            assert_eq!(got.status, 502, "cut at {cut}: {}", got.text());
+            assert_eq!(backend.received().len(), 1, "cut at {cut}");
+        }
+    }
+}
+
 #[test]
 fn stages_run_before_the_request_and_their_results_are_freed() {
     let pieces = scripted(|seen, _| {
