--- a/crates/daemon/tests/lost_power.rs
+++ b/crates/daemon/tests/lost_power.rs
@@ -1,4 +1,5 @@
-//! Data folders whose machine loses power, in which whatever wasn't synced is gone.
+//! Data folders whose machine loses power, in which whatever wasn't synced is gone, and
+//! whose disk is full for a while.
 
 use {
     coord::{
@@ -15,7 +16,7 @@
         path::{Path, PathBuf},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
     },
 };
@@ -27,21 +28,28 @@
     synced: Arc<Mutex<HashMap<PathBuf, u64>>>,
     /// Whether the process is killed before its next sync.
     killed: Arc<AtomicBool>,
+    /// How many of the next syncs find the disk full.
+    refusals: Arc<AtomicU32>,
 }
 
 impl Disk {
     fn new() -> Self {
         let folder = TempDir::new();
-        Self { folder, synced: Arc::default(), killed: Arc::default() }
+        Self { folder, synced: Arc::default(), killed: Arc::default(), refusals: Arc::default() }
     }
 
     fn open(&self) -> Result<(Store, RestoredState), DiskError> {
         self.killed.store(false, Ordering::Relaxed);
         let (synced, killed) = (self.synced.clone(), self.killed.clone());
+        let refusals = self.refusals.clone();
         let sync = move |path: &Path, file: &File| {
             if killed.load(Ordering::Relaxed) {
                 return Err(io::Error::other("the process is killed"));
             }
+            let count = |left: u32| left.checked_sub(1);
+            if refusals.fetch_update(Ordering::Relaxed, Ordering::Relaxed, count).is_ok() {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
             let length = file.metadata()?.len();
             synced.lock().expect("the lock").insert(path.to_owned(), length);
             Ok(())
@@ -147,3 +155,24 @@
     assert_eq!(restored.snapshot.map(|it| it.index), Some(Index(3)));
     assert_eq!(restored.entries.first().map(|it| it.index), Some(Index(4)));
 }
+
+#[test]
+fn what_is_written_around_full_disks_is_whole_and_outlasts_a_loss_of_power() {
+    let disk = Disk::new();
+    let (mut store, _) = disk.open().expect("a new folder");
+    for (index, refused) in [(1, 0), (2, 2), (3, 0), (4, 1)] {
+        disk.refusals.store(refused, Ordering::Relaxed);
+        store.commit(entries([index])).expect("an entry, once there is room");
+    }
+    disk.refusals.store(2, Ordering::Relaxed);
+    store.commit(snapshot(3)).expect("the snapshot, once there is room");
+    store.commit(entries([5])).expect("an entry after it");
+    drop(store);
+
+    disk.lose_power();
+    disk.refusals.store(2, Ordering::Relaxed);
+
+    let (_, restored) = disk.open().expect("the folder, once there is room");
+    assert_eq!(restored.snapshot.as_ref().map(|it| it.index), Some(Index(3)));
+    assert_eq!(indexes(&restored), [4, 5]);
+}
