Let a lost voter leave just before its successor votes

Now the lost voter leaves once its successor has caught up, and the successor votes with the next change. From an odd number of voters the majority has the same size in all these sets; an even one grows first.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -5,6 +5,7 @@
     super::{Completion, LONG_POLL, ProposalError, ShareHolder, Voter, shares::EndpointCapacity},
     crate::{
         ids::{NodeId, PoolName},
+        raft::{Config, HEARTBEAT_INTERVAL},
         tables::{Command, Member, SuspectKey},
         time::{Millis, Time},
     },
@@ -24,7 +25,10 @@
 const MAX_SILENT_PERCENT: usize = 75;
 /// The interval between two searches for stale rows.
 const CLEANUP_INTERVAL: Millis = Millis(1000);
-/// The silence after which a voter that has been replaced is removed, and a learner if
+/// The silence, a few heartbeats long, after which a voter may have failed.
+const VOTER_SUSPECT_AFTER: Millis = Millis(4 * HEARTBEAT_INTERVAL.0);
+/// The silence after which a voter is removed if another instance can replace it,
+/// or if more than [`MIN_VOTERS`] are left, and a learner if
 /// another instance can take its place. Longer than a change of leader, shorter than
 /// the expected time to the next failure.
 const VOTER_REPLACE_AFTER: Millis = Millis(1500);
@@ -203,26 +207,50 @@
         }
     }
 
-    /// Proposes one change of the set of voters: the removal of one that has been replaced,
-    /// or else the promotion of a learner that has caught up, or else a learner. A voter is
-    /// replaced before it is removed, so that committed entries are meanwhile on the disks
-    /// of a majority of as many voters.
+    /// Proposes one change of the set of voters, if one is due. Fails while another change
+    /// is in progress; the next call tries again.
     fn repair_voters(&mut self, now: Time) {
-        let spare = self.spare_member(now);
+        if let Some(next) = self.next_config(now) {
+            let _ = self.raft.propose_config(next);
+        }
+    }
+
+    /// Returns the set of voters with one change. A lost voter leaves just before its
+    /// successor, which has caught up as a learner, votes. From an odd number the majority
+    /// is of the same size in all these sets, so that committed entries stay on as many
+    /// disks, and voters that are lost meanwhile count no more than before.
+    fn next_config(&self, now: Time) -> Option<Config> {
         let mut next = self.raft.config().clone();
-        if let Some(id) = self.voter_to_remove(now, spare.map(|(_, peer)| peer)) {
-            next.voters.shift_remove(&id);
+        let count = next.voters.len();
+        let is_odd = !count.is_multiple_of(2);
+        let spare = self.spare_member(now);
+        let lost = self.most_silent_voter(now).filter(|(_, it)| *it >= VOTER_REPLACE_AFTER);
+        if let Some(id) = self.lost_learner(now, spare.map(|(_, peer)| peer)) {
             next.learners.shift_remove(&id);
+        } else if let Some((id, _)) = lost.filter(|_| count > MIN_VOTERS) {
+            next.voters.shift_remove(&id);
         } else if let Some((id, peer)) = self.ready_learner() {
-            next.learners.shift_remove(&id);
-            next.voters.insert(id, peer);
+            let wiped = next.voters.iter().find(|(_, addr)| **addr == peer).map(|(id, _)| *id);
+            match wiped.or(lost.map(|(id, _)| id)).filter(|_| is_odd) {
+                Some(lost) => {
+                    next.voters.shift_remove(&lost);
+                }
+                // One that may be lost is waited for, since the learner may replace it.
+                None if is_odd && self.is_suspicious(now) => return None,
+                None => {
+                    next.learners.shift_remove(&id);
+                    next.voters.insert(id, peer);
+                }
+            }
         } else if let Some((id, peer)) = spare.filter(|_| next.learners.is_empty()) {
             next.learners.insert(id, peer);
+        } else if let Some((id, _)) = lost.filter(|_| !is_odd && next.learners.is_empty()) {
+            // An even number bears no more losses than one less.
+            next.voters.shift_remove(&id);
         } else {
-            return;
+            return None;
         }
-        // Fails while another change is in progress; the next call tries again.
-        let _ = self.raft.propose_config(next);
+        Some(next)
     }
 
     /// Returns an instance with a disk and a lease that is neither voter nor learner. One
@@ -252,31 +280,31 @@
         learners.find(|(id, _)| is_ready(id)).map(|(id, addr)| (*id, *addr))
     }
 
-    /// Returns the voter or learner to remove now, given the address of a spare
-    /// instance.
-    fn voter_to_remove(&self, now: Time, spare: Option<SocketAddr>) -> Option<NodeId> {
-        let config = self.raft.config();
+    /// How long another voter or learner hasn't replied.
+    fn silence(&self, now: Time, id: NodeId) -> Millis {
+        self.raft.followers().get(&id).map_or(Millis(0), |it| now.since(it.last_reply))
+    }
+
+    /// Returns the other voter that hasn't replied for the longest time, and that time.
+    fn most_silent_voter(&self, now: Time) -> Option<(NodeId, Millis)> {
         let own = self.raft.id();
-        let silence = |id: &NodeId| {
-            self.raft.followers().get(id).map_or(Millis(0), |it| now.since(it.last_reply))
-        };
-        let outlived = |id: &NodeId, addr: &SocketAddr| {
-            let mut voters = config.voters.iter().filter(|(_, it)| *it == addr);
-            voters.any(|(it, _)| silence(it) < silence(id))
-        };
-        let wiped_voter = config.voters.iter().find(|(id, addr)| outlived(id, addr));
-        let wiped_learner = config.learners.iter().find(|(_, addr)| Some(**addr) == spare);
-        if let Some((id, _)) = wiped_voter.or(wiped_learner).filter(|(id, _)| **id != own) {
-            return Some(*id);
-        }
-        let count = config.voters.len();
-        // An even number bears no more losses than one less, unless it is about to grow.
-        let is_even = count.is_multiple_of(2) && spare.is_none() && config.learners.is_empty();
-        let voters = config.voters.keys().filter(|_| count > MIN_VOTERS || is_even);
+        let others = self.raft.config().voters.keys().filter(|id| **id != own);
+        others.map(|id| (*id, self.silence(now, *id))).max_by_key(|(_, silence)| *silence)
+    }
+
+    /// Whether a voter may be lost.
+    fn is_suspicious(&self, now: Time) -> bool {
+        self.most_silent_voter(now).is_some_and(|(_, it)| it >= VOTER_SUSPECT_AFTER)
+    }
+
+    /// Returns a learner that has lost its disk or is silent, given the address of a spare
+    /// instance.
+    fn lost_learner(&self, now: Time, spare: Option<SocketAddr>) -> Option<NodeId> {
         let timeout = if spare.is_some() { VOTER_REPLACE_AFTER } else { LEARNER_REMOVE_AFTER };
-        let gone = voters.filter(|id| silence(id) >= VOTER_REPLACE_AFTER);
-        let gone = gone.chain(config.learners.keys().filter(|id| silence(id) >= timeout));
-        gone.filter(|id| **id != own).max_by_key(|id| silence(id)).copied()
+        let is_lost = |(id, addr): &(&NodeId, &SocketAddr)| {
+            Some(**addr) == spare || self.silence(now, **id) >= timeout
+        };
+        self.raft.config().learners.iter().find(is_lost).map(|(id, _)| *id)
     }
 
     /// Promotes a learner that has caught up to voter, or repairs the set of voters.
