--- a/crates/daemon/tests/other_answers.rs
+++ b/crates/daemon/tests/other_answers.rs
@@ -13,6 +13,9 @@
 /// The time in which bytes on a loopback connection have arrived.
 const ARRIVAL_TIME: Duration = Duration::from_millis(50);
 
+/// So many that each of two endpoints gets one, whichever are chosen.
+const MAX_REQUESTS: usize = 60;
+
 /// A signed answer that keeps its connection.
 fn kept(seen: &standin::ReceivedRequest) -> Vec<u8> {
     standin::signed_response(seen, "200 OK", &format!("{KEEP_ALIVE}content-length: 4\r\n"), "fine")
@@ -33,8 +36,11 @@
     });
     sleep(ARRIVAL_TIME);
 
-    let answers: Vec<u16> =
-        (2..8).map(|it| call(&relay, &request(&format!("id{it}"), "", "")).status).collect();
+    let mut answers = Vec::new();
+    while repeats.received().len() < 2 && answers.len() < MAX_REQUESTS {
+        let id = format!("id{}", answers.len() + 2);
+        answers.push(call(&relay, &request(&id, "", "")).status);
+    }
 
     assert_eq!(first.status, 200);
     let seen = repeats.received();
