--- a/crates/daemon/src/disk/store.rs
+++ b/crates/daemon/src/disk/store.rs
@@ -73,7 +73,6 @@
         let names = folder.names()?;
         let all: Vec<&String> = names.iter().filter(|it| is_segment(it)).collect();
         let (removed, logs) = all.split_at(first_in_use(&all));
-        removed.iter().for_each(|it| folder.remove(it));
         for (i, name) in logs.iter().enumerate() {
             reader.read_segment(&folder, name, i + 1 == logs.len())?;
         }
@@ -83,10 +82,12 @@
         let covered = snapshot.as_ref().map_or(Index(0), |it| it.index);
         let mut entries = reader.entries;
         entries.retain(|it| it.index > covered);
-        if entries.first().is_some_and(|it| it.index != covered.next()) {
+        let is_gap = entries.first().is_some_and(|it| it.index != covered.next());
+        if is_gap || !removed.is_empty() && snapshot.is_none() {
             let detail = format!("entries after {covered} are missing");
             return Err(DiskError::Damaged { path: folder.file(SEGMENT_PREFIX), at: 0, detail });
         }
+        removed.iter().for_each(|it| folder.remove(it));
         let (hard, seq, segments) = (reader.hard, reader.seq, reader.segments);
         let number = segments.last().map_or(0, |it| segment_number(&it.name)) + 1;
         let (file, path, name) = start_segment(&folder, number)?;
@@ -276,7 +277,8 @@
 }
 
 /// The position of the first segment in use. Removals of segments that a snapshot covers
-/// may be lost with power, each by itself; what precedes a missing segment was removed.
+/// may be lost with power, each by itself; what precedes a missing segment was removed if
+/// a snapshot follows it.
 fn first_in_use(names: &[&String]) -> usize {
     let follows = |pair: &[&String]| segment_number(pair[1]) == segment_number(pair[0]) + 1;
     names.windows(2).rposition(|pair| !follows(pair)).map_or(0, |it| it + 1)
--- a/crates/daemon/tests/lost_power.rs
+++ b/crates/daemon/tests/lost_power.rs
@@ -156,6 +156,22 @@
     assert_eq!(restored.entries.first().map(|it| it.index), Some(Index(4)));
 }
 
+#[test]
+fn a_missing_segment_that_no_snapshot_covers_is_damage_and_nothing_is_removed() {
+    let disk = Disk::new();
+    let (mut store, _) = disk.open().expect("a new folder");
+    store.commit(entries([1])).expect("an entry");
+    drop(store);
+    drop(disk.open().expect("the folder, with a second segment"));
+    drop(disk.open().expect("the folder, with a third segment"));
+    let segments = disk.segments();
+
+    fs::remove_file(disk.folder.path().join(&segments[1])).expect("the second segment is lost");
+
+    assert!(matches!(disk.open(), Err(DiskError::Damaged { .. })));
+    assert!(disk.segments().contains(&segments[0]), "the first entry is still there");
+}
+
 #[test]
 fn what_is_written_around_full_disks_is_whole_and_outlasts_a_loss_of_power() {
     let disk = Disk::new();
