Split the repair of voters, and let configurations derive each other

Change: Config gives itself without or with a member; a learner that has caught up gets a function of its own; one place proposes. No decision changes.

--- a/crates/coord/src/control/duties.rs
+++ b/crates/coord/src/control/duties.rs
@@ -207,50 +207,46 @@
         }
     }
 
-    /// Proposes one change of the set of voters, if one is due. Fails while another change
-    /// is in progress; the next call tries again.
-    fn repair_voters(&mut self, now: Time) {
-        if let Some(next) = self.next_config(now) {
-            let _ = self.raft.propose_config(next);
-        }
-    }
-
-    /// Returns the set of voters with one change. A lost voter leaves just before its
-    /// successor, which has caught up as a learner, votes. From an odd number the majority
-    /// is of the same size in all these sets, so that committed entries stay on as many
-    /// disks, and voters that are lost meanwhile count no more than before.
+    /// Returns the set of voters with one change, if one is due.
     fn next_config(&self, now: Time) -> Option<Config> {
-        let mut next = self.raft.config().clone();
-        let count = next.voters.len();
-        let is_odd = !count.is_multiple_of(2);
+        let config = self.raft.config();
         let spare = self.spare_member(now);
-        let lost = self.most_silent_voter(now).filter(|(_, it)| *it >= VOTER_REPLACE_AFTER);
         if let Some(id) = self.lost_learner(now, spare.map(|(_, peer)| peer)) {
-            next.learners.shift_remove(&id);
-        } else if let Some((id, _)) = lost.filter(|_| count > MIN_VOTERS) {
-            next.voters.shift_remove(&id);
-        } else if let Some((id, peer)) = self.ready_learner() {
-            let wiped = next.voters.iter().find(|(_, addr)| **addr == peer).map(|(id, _)| *id);
-            match wiped.or(lost.map(|(id, _)| id)).filter(|_| is_odd) {
-                Some(lost) => {
-                    next.voters.shift_remove(&lost);
-                }
-                // One that may be lost is waited for, since the learner may replace it.
-                None if is_odd && self.is_suspicious(now) => return None,
-                None => {
-                    next.learners.shift_remove(&id);
-                    next.voters.insert(id, peer);
-                }
-            }
-        } else if let Some((id, peer)) = spare.filter(|_| next.learners.is_empty()) {
-            next.learners.insert(id, peer);
-        } else if let Some((id, _)) = lost.filter(|_| !is_odd && next.learners.is_empty()) {
-            // An even number bears no more losses than one less.
-            next.voters.shift_remove(&id);
-        } else {
+            return Some(config.without(id));
+        }
+        let lost = self.lost_voter(now);
+        let count = config.voters.len();
+        if let Some(id) = lost.filter(|_| count > MIN_VOTERS) {
+            return Some(config.without(id));
+        }
+        if let Some((id, peer)) = self.ready_learner() {
+            return self.seat_learner(now, id, peer);
+        }
+        if !config.learners.is_empty() {
             return None;
         }
-        Some(next)
+        // An even number bears no more losses than one less.
+        let surplus = lost.filter(|_| count.is_multiple_of(2));
+        let joined = spare.map(|(id, peer)| config.with_learner(id, peer));
+        joined.or_else(|| surplus.map(|id| config.without(id)))
+    }
+
+    /// Returns the next change on the way to make a voter of a learner that has caught up.
+    /// From an odd number of voters the one that it replaces leaves just before. The
+    /// majority has the same size all along, so that committed entries stay on as many
+    /// disks, and a successor that is lost again stops nobody.
+    fn seat_learner(&self, now: Time, id: NodeId, addr: SocketAddr) -> Option<Config> {
+        let config = self.raft.config();
+        if config.voters.len().is_multiple_of(2) {
+            return Some(config.with_voter(id, addr));
+        }
+        let wiped = config.voters.iter().find(|(_, it)| **it == addr).map(|(id, _)| *id);
+        match wiped.or_else(|| self.lost_voter(now)) {
+            Some(lost) => Some(config.without(lost)),
+            // One that may be lost is waited for, since the learner may replace it.
+            None if self.silent_voter(now, VOTER_SUSPECT_AFTER).is_some() => None,
+            None => Some(config.with_voter(id, addr)),
+        }
     }
 
     /// Returns an instance with a disk and a lease that is neither voter nor learner. One
@@ -280,21 +276,20 @@
         learners.find(|(id, _)| is_ready(id)).map(|(id, addr)| (*id, *addr))
     }
 
-    /// How long another voter or learner hasn't replied.
+    /// How long another voter or learner hasn't replied; zero for this one.
     fn silence(&self, now: Time, id: NodeId) -> Millis {
         self.raft.followers().get(&id).map_or(Millis(0), |it| now.since(it.last_reply))
     }
 
-    /// Returns the other voter that hasn't replied for the longest time, and that time.
-    fn most_silent_voter(&self, now: Time) -> Option<(NodeId, Millis)> {
-        let own = self.raft.id();
-        let others = self.raft.config().voters.keys().filter(|id| **id != own);
-        others.map(|id| (*id, self.silence(now, *id))).max_by_key(|(_, silence)| *silence)
+    /// Returns the voter that hasn't replied for the longest time, at least as long as given.
+    fn silent_voter(&self, now: Time, least: Millis) -> Option<NodeId> {
+        let voters = self.raft.config().voters.keys().copied();
+        let silent = voters.filter(|id| self.silence(now, *id) >= least);
+        silent.max_by_key(|id| self.silence(now, *id))
     }
 
-    /// Whether a voter may be lost.
-    fn is_suspicious(&self, now: Time) -> bool {
-        self.most_silent_voter(now).is_some_and(|(_, it)| it >= VOTER_SUSPECT_AFTER)
+    fn lost_voter(&self, now: Time) -> Option<NodeId> {
+        self.silent_voter(now, VOTER_REPLACE_AFTER)
     }
 
     /// Returns a learner that has lost its disk or is silent, given the address of a spare
@@ -307,22 +302,20 @@
         self.raft.config().learners.iter().find(is_lost).map(|(id, _)| *id)
     }
 
-    /// Promotes a learner that has caught up to voter, or repairs the set of voters.
+    /// Proposes one change of the set of voters if that is due: only of learners that have
+    /// caught up, if an operator changes the rest. Fails while another change is in
+    /// progress; the next call tries again.
     pub(super) fn promote(&mut self, now: Time) {
         if now.since(self.last_promotion) < PROMOTION_INTERVAL {
             return;
         }
         self.last_promotion = now;
-        if self.repairs_voters {
-            self.repair_voters(now);
-            return;
-        }
-        let Some((id, addr)) = self.ready_learner() else {
-            return;
+        let next = match self.repairs_voters {
+            true => self.next_config(now),
+            false => self.ready_learner().map(|(id, it)| self.raft.config().with_voter(id, it)),
         };
-        let mut next = self.raft.config().clone();
-        next.learners.shift_remove(&id);
-        next.voters.insert(id, addr);
-        let _ = self.raft.propose_config(next);
+        if let Some(next) = next {
+            let _ = self.raft.propose_config(next);
+        }
     }
 }
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -309,12 +309,11 @@
         let Some(member) = member else {
             return refuse("the roster has no such instance with a data folder");
         };
-        let mut config = self.raft.config().clone();
-        if config.voters.contains_key(&id) || config.learners.contains_key(&id) {
+        let config = self.raft.config();
+        if config.addr(id).is_some() {
             return Ok(());
         }
-        config.learners.insert(id, member.peer);
-        self.propose_config(config)
+        self.propose_config(config.with_learner(id, member.peer))
     }
 
     /// Removes a voter or learner.
@@ -323,13 +322,11 @@
     /// This voter isn't the leader, another change is in progress, or it is the last
     /// voter.
     pub fn remove_voter(&mut self, id: NodeId) -> Result<(), ProposalError> {
-        let mut config = self.raft.config().clone();
-        let voter = config.voters.shift_remove(&id).is_some();
-        let learner = config.learners.shift_remove(&id).is_some();
-        if !voter && !learner {
+        let config = self.raft.config();
+        if config.addr(id).is_none() {
             return Ok(());
         }
-        self.propose_config(config)
+        self.propose_config(config.without(id))
     }
 
     /// Handles a renewal. The reply comes through [`Self::take_completions`].
--- a/crates/coord/src/raft/config.rs
+++ b/crates/coord/src/raft/config.rs
@@ -21,6 +21,28 @@
         Self { voters: [(id, addr)].into_iter().collect(), learners: IndexMap::new() }
     }
 
+    /// This configuration without a voter or learner.
+    pub fn without(&self, id: NodeId) -> Self {
+        let mut next = self.clone();
+        next.voters.shift_remove(&id);
+        next.learners.shift_remove(&id);
+        next
+    }
+
+    /// This configuration with another learner.
+    pub fn with_learner(&self, id: NodeId, addr: SocketAddr) -> Self {
+        let mut next = self.clone();
+        next.learners.insert(id, addr);
+        next
+    }
+
+    /// This configuration with another voter, which is no learner any more.
+    pub fn with_voter(&self, id: NodeId, addr: SocketAddr) -> Self {
+        let mut next = self.without(id);
+        next.voters.insert(id, addr);
+        next
+    }
+
     /// Whether `has` holds for a majority of the voters.
     pub fn is_quorum(&self, has: impl Fn(NodeId) -> bool) -> bool {
         self.voters.keys().filter(|id| has(**id)).count() * 2 > self.voters.len()
--- a/crates/coord/tests/raft_steps.rs
+++ b/crates/coord/tests/raft_steps.rs
@@ -33,6 +33,19 @@
     Raft::new(FIRST, RestoredState { hard, snapshot: None, entries }, START, 1)
 }
 
+/// A message without entries of the leader of `term`, after the entry `prev` of term 2.
+fn heartbeat(term: u64, prev: u64, sent: u64) -> Message {
+    Message::Append {
+        term: Term(term),
+        prev: Index(prev),
+        prev_term: Term(2),
+        entries: Vec::new(),
+        commit: Index(prev),
+        sent,
+        acked: Vec::new(),
+    }
+}
+
 /// A request for a vote in `term` by a candidate with a longer log.
 fn vote_request(term: u64) -> Message {
     let (last, last_term) = (Index(9), Term(term - 1));
@@ -125,15 +138,7 @@
         state: State::default(),
     };
     let install = Message::Install { term: Term(2), snapshot: Arc::new(snapshot), sent: 1 };
-    let heartbeat = Message::Append {
-        term: Term(2),
-        prev: Index(9),
-        prev_term: Term(2),
-        entries: Vec::new(),
-        commit: Index(9),
-        sent: 2,
-        acked: Vec::new(),
-    };
+    let heartbeat = heartbeat(2, 9, 2);
 
     raft.step(START, SECOND, install);
     raft.step(START, SECOND, heartbeat);
@@ -164,15 +169,7 @@
 #[test]
 fn a_voter_that_hears_its_leader_grants_no_vote() {
     let mut raft = voter();
-    let heartbeat = Message::Append {
-        term: Term(2),
-        prev: Index(2),
-        prev_term: Term(2),
-        entries: Vec::new(),
-        commit: Index(2),
-        sent: 1,
-        acked: Vec::new(),
-    };
+    let heartbeat = heartbeat(2, 2, 1);
     raft.step(START, SECOND, heartbeat);
     let _ = raft.take_batch();
 
@@ -284,15 +281,7 @@
 #[test]
 fn a_rejected_message_of_an_earlier_term_counts_for_no_lease() {
     let mut raft = voter();
-    let message = Message::Append {
-        term: Term(1),
-        prev: Index(2),
-        prev_term: Term(2),
-        entries: Vec::new(),
-        commit: Index(2),
-        sent: 30_000,
-        acked: Vec::new(),
-    };
+    let message = heartbeat(1, 2, 30_000);
 
     raft.step(START, SECOND, message);
 
