Pin the forms of packed updates, and that renewals of earlier builds are read

Cause: packed_tables, packed_deltas and packed_tables as updates are new on the wire since, and no test held their names, nor that a renewal without them is read as one that wants nothing packed. Change: renewal_forms.rs has both.

--- a/crates/coord/tests/renewal_forms.rs
+++ b/crates/coord/tests/renewal_forms.rs
@@ -34,6 +34,30 @@
     assert_eq!(rewrite::<RenewRequest>(json), json);
 }
 
+#[test]
+fn a_renewal_says_what_is_read_packed_and_that_of_an_earlier_build_less() {
+    let renewal = |packed: &str| {
+        format!(
+            concat!(
+                r#"{{"node":"0000000000000007","incarnation":2,"seq":3,"have":40,"version":5,"#,
+                r#""grants":6,"over":[],"holdings":null,"heard":[],"trouble":[],"good":[],"#,
+                r#""demand":[],"teams":[],{}"leaving":false}}"#,
+            ),
+            packed
+        )
+    };
+    for (text, packed, tables) in [
+        ("", false, false),
+        (r#""packed":true,"#, true, false),
+        (r#""packed":true,"packed_tables":true,"#, true, true),
+    ] {
+        let json = renewal(text);
+        let read: RenewRequest = serde_json::from_str(&json).expect("it is read");
+        assert_eq!((read.packed, read.packed_tables), (packed, tables));
+        assert_eq!(rewrite::<RenewRequest>(&json), json);
+    }
+}
+
 #[test]
 fn the_answer_to_a_renewal_keeps_its_fields() {
     let reply = |update: &str| {
@@ -47,7 +71,12 @@
             update
         )
     };
-    for json in [reply(r#""same""#), reply(r#"{"steps":[]}"#)] {
+    for json in [
+        reply(r#""same""#),
+        reply(r#"{"steps":[]}"#),
+        reply(r#"{"packed_deltas":"ABC="}"#),
+        reply(r#"{"packed_tables":{"tables":"ABC=","catalog":"ABC="}}"#),
+    ] {
         assert_eq!(rewrite::<RenewReply>(&json), json);
     }
     for json in [
