--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -279,7 +279,7 @@
             if answer.is_ok_and(|it| it.status() == 200) {
                 return true;
             }
-            sleep_ms(100);
+            sleep_ms(50);
         }
         false
     }
