--- a/review/rig/src/bin/evacuated_again.rs
+++ b/review/rig/src/bin/evacuated_again.rs
@@ -43,7 +43,7 @@
         let clients = ask(edges, record.clone(), ended.clone());
         sleep_ms(1000);
 
-        let leader = (fleet.cores().into_iter().max_by_key(|it| terms_led(&fleet.log(*it)))).expect("a core");
+        let leader = fleet.leader().0;
         let others: Vec<usize> = fleet.cores().into_iter().filter(|it| *it != leader).collect();
         let (frozen, steady) = (others[0], others[1]);
         record.line(format!("{} leads", fleet.machines[leader].name));
@@ -84,11 +84,6 @@
     })
 }
 
-/// How often a voter has begun to lead, by its log.
-fn terms_led(log: &str) -> usize {
-    log.lines().filter(|it| it.contains("A voter's view has changed") && it.contains("Leader")).count()
-}
-
 /// Sends a request each 50 ms, to the edge machines in turn.
 fn ask(edges: Vec<SocketAddr>, record: Record, ended: Arc<AtomicBool>) -> thread::JoinHandle<()> {
     thread::spawn(move || {
--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -161,18 +161,19 @@
         let internal = self.ports[INTERNAL];
         text += &format!("InternalPorts={internal},{}\n", internal + 9);
         text += &format!("Seeds={}\nBootstrap={first}\nFaultCounted={}\n", self.seeds().join(","), it.core);
-        text += "Limits.CpuShare=0.25\nLimits.Cores=1\nLimits.MemoryMb=260\nLimits.MaxFds=4100\n\
+        let tolerated = (self.cores().len() - 1) / 2;
+        text += &format!("Limits.CpuShare=0.25\nLimits.Cores=1\nLimits.MemoryMb=260\nLimits.MaxFds=4100\n\
                  Limits.LinkMbps=1000.0\nLimits.DiskMb=128\nDiscovery=registration\nEntry=vip\n\
                  HeartbeatMs=1200\n\
                  Contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places,stages\n\
-                 FaultTolerance.Machines=1\nFaultTolerance.Zones=1\nFaultTolerance.Regions=0\n\
+                 FaultTolerance.Machines={tolerated}\nFaultTolerance.Zones=1\nFaultTolerance.Regions=0\n\
                  Bounds.SeedLagS=3\nBounds.ReuseAfterS=2\nBounds.ContactMs=3000\nBounds.AckMs=4000\n\
                  Bounds.CatchUpS=4\nBounds.DrainMs=2000\nBounds.GraceS=8\nBounds.LossSlackMs=200\n\
                  Bounds.ConfigApplyMs=2000\nBounds.RollbackSlackMs=250\nBounds.MaxSkewMs=5000\n\
                  Bounds.StrictRevocation=false\nBounds.RevokeMs=5000\nBounds.RetryBudgetRatio=0.2\n\
                  Bounds.BudgetWindowS=10\nBounds.BudgetSlack=54\nBounds.ColdOvershoot=1.5\n\
                  Bounds.ColdSlack=5\nBounds.EvacuateMs=5000\nBounds.RecoverS=12\n\
-                 Bounds.LateAfterMs=120\nBounds.RetryAfterS=8\nConfigMode=highest\n";
+                 Bounds.LateAfterMs=120\nBounds.RetryAfterS=8\nConfigMode=highest\n");
         text
     }
 
@@ -262,6 +263,24 @@
         fs::read_to_string(path).unwrap_or_default()
     }
 
+    /// What a machine's process has written to its standard error.
+    pub fn errors(&self, at: usize) -> String {
+        let path = self.folder.join(format!("{}.err", self.machines[at].name));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// The core machine that leads, by the highest term in which one began to, and that term.
+    pub fn leader(&self) -> (usize, u64) {
+        let term_led = |at: &usize| {
+            let log = self.log(*at);
+            let led = log.lines().filter(|it| it.contains("\"role\":\"Leader\""));
+            let terms = led.filter_map(|it| it.split("\"term\":\"").nth(1)?.split('"').next()?.parse().ok());
+            terms.max().unwrap_or(0_u64)
+        };
+        let leaders = self.cores().into_iter().map(|it| (it, term_led(&it)));
+        leaders.max_by_key(|(_, term)| *term).expect("a core machine")
+    }
+
     /// Sends an order of the operator to one node after the other until it is acknowledged.
     pub fn order(&self, path: &str, body: &str, nodes: &[SocketAddr], wait: Duration) -> bool {
         let end = Instant::now() + wait;
