--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -373,6 +373,8 @@
     pub addr: SocketAddr,
     pub zone: String,
     pub slots: u32,
+    /// The version of its software.
+    pub version: String,
     /// More fields of the body, such as `,"Phase":"both"`.
     pub more: String,
     pub state: Arc<Mutex<String>>,
@@ -389,6 +391,7 @@
             addr,
             zone: zone.to_owned(),
             slots,
+            version: "v1".to_owned(),
             more: String::new(),
             state: Arc::new(Mutex::new("ready".to_owned())),
             cold_ms: Arc::default(),
@@ -398,11 +401,12 @@
 
     pub fn body(&self, seq: u64) -> String {
         format!(
-            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Slots\":{},\
+            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"{}\",\"Slots\":{},\
              \"State\":\"{}\",\"ColdRemainingMs\":{},\"Seq\":{seq},\"born\":{}{}}}",
             self.service,
             self.addr,
             self.zone,
+            self.version,
             self.slots,
             self.state.lock().expect("not poisoned"),
             self.cold_ms.load(Ordering::Relaxed),
