--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 export CASE="$(cd "$(dirname "$0")" && pwd)"
 export ROOT="$(cd "$CASE/../.." && pwd)"
-exec "$ROOT/target/review/release/refused_voter"
+exec "$ROOT/target/review/release/cold_flood"
--- a/review/rig/src/bin/brittle.rs
+++ b/review/rig/src/bin/brittle.rs
@@ -98,7 +98,8 @@
             serve(replica);
         }
         sleep_ms(2500);
-        let edges: Vec<SocketAddr> = fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
+        let edges: Vec<SocketAddr> =
+            fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
         let ended = Arc::new(AtomicBool::new(false));
         let rate = Arc::new(Mutex::new(PER_SECOND));
         let counts: Arc<[AtomicU32; 3]> = Arc::default();
@@ -118,7 +119,8 @@
         ended.store(true, Ordering::Relaxed);
         let _ = clients.join();
 
-        let (falls, lost) = (world.falls.load(Ordering::Relaxed), world.lost.load(Ordering::Relaxed));
+        let (falls, lost) =
+            (world.falls.load(Ordering::Relaxed), world.lost.load(Ordering::Relaxed));
         let [good, refused, failed] = [0, 1, 2].map(|i: usize| counts[i].load(Ordering::Relaxed));
         record.line(format!("the replicas fell over {falls} times with {lost} requests running; clients got {good} successes, {refused} refusals and {failed} failures"));
         let broken = f64::from(falls) > 2.0 + REPLICAS as f64 / 10.0;
@@ -135,7 +137,8 @@
     let beats = Beats::new(&id, "shop", replica.addr, replica.zone, SLOTS);
     thread::spawn(move || {
         for seq in 1.. {
-            if replica.down.load(Ordering::SeqCst) || replica.start.load(Ordering::SeqCst) != start {
+            if replica.down.load(Ordering::SeqCst) || replica.start.load(Ordering::SeqCst) != start
+            {
                 return;
             }
             let known = beats.beat(seq, &replica.world.nodes, &replica.world.record);
@@ -157,7 +160,8 @@
         let mut due = Instant::now();
         while !ended.load(Ordering::Relaxed) {
             n += 1;
-            let (edge, record, counts) = (edges[n as usize % edges.len()], record.clone(), counts.clone());
+            let (edge, record, counts) =
+                (edges[n as usize % edges.len()], record.clone(), counts.clone());
             thread::spawn(move || {
                 let id = format!("{:016x}", 0x9c41_d07b_0000_0000 + n);
                 let text = format!(
@@ -236,7 +240,8 @@
     if world.is_brittle(0) {
         headers.push(("Server-Brittle", brittle.as_str()));
     }
-    let is_gone = || replica.down.load(Ordering::SeqCst) || replica.start.load(Ordering::SeqCst) != start;
+    let is_gone =
+        || replica.down.load(Ordering::SeqCst) || replica.start.load(Ordering::SeqCst) != start;
     let mut load = replica.load.lock().expect("not poisoned");
     let queue = if world.is_brittle(CONTACT_MS) { BRITTLE_QUEUE } else { QUEUE };
     if load.running >= SLOTS && load.waiting >= queue {
@@ -250,7 +255,10 @@
             replica.down.store(true, Ordering::SeqCst);
             world.falls.fetch_add(1, Ordering::Relaxed);
             world.lost.fetch_add(load.running, Ordering::Relaxed);
-            world.record.line(format!("replica {}: falls over with {} requests running", replica.addr, load.running));
+            world.record.line(format!(
+                "replica {}: falls over with {} requests running",
+                replica.addr, load.running
+            ));
             for it in replica.conns.lock().expect("not poisoned").drain(..) {
                 let _ = it.shutdown(Shutdown::Both);
             }
--- a/review/rig/src/bin/cold_flood.rs
+++ b/review/rig/src/bin/cold_flood.rs
@@ -81,7 +81,8 @@
             replicas.push(replica);
         }
         sleep_ms(2500);
-        let edges: Vec<SocketAddr> = fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
+        let edges: Vec<SocketAddr> =
+            fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
         let sent: Arc<Mutex<HashMap<String, f64>>> = Arc::default();
         let ended = Arc::new(AtomicBool::new(false));
         let broken = Arc::new(AtomicU32::new(0));
@@ -92,7 +93,8 @@
             record.line(format!("the replica of zone c at {} goes down", last.addr));
             last.go_down();
             sleep_ms(DOWN_MS);
-            *last.cold_until.lock().expect("not poisoned") = Some(Instant::now() + Duration::from_millis(COLD_MS));
+            *last.cold_until.lock().expect("not poisoned") =
+                Some(Instant::now() + Duration::from_millis(COLD_MS));
             last.down.store(false, Ordering::SeqCst);
             record.line("the replica of zone c is back, cold for 3 s");
             announce(&last, "i-kook2-again", "c", &fleet);
@@ -113,7 +115,10 @@
         };
         // A second that holds the most begins just where one of these requests was sent.
         let starts = arrivals.iter().filter_map(|(_, id)| sent.get(id));
-        let (most, from) = starts.map(|it| (in_second(*it), *it)).fold((0, 0.0), |a, b| if b.0 > a.0 { b } else { a });
+        let (most, from) =
+            starts
+                .map(|it| (in_second(*it), *it))
+                .fold((0, 0.0), |a, b| if b.0 > a.0 { b } else { a });
         record.line(format!(
             "the cold replica got {most} requests in the second from {from:.3}; {BOUND} are allowed; it fell over {} times, with {} streams under way; {} streams of clients broke off",
             last.falls.load(Ordering::Relaxed),
@@ -139,7 +144,8 @@
                 return;
             }
             let until = *replica.cold_until.lock().expect("not poisoned");
-            let left = until.map_or(0, |it| it.saturating_duration_since(Instant::now()).as_millis());
+            let left =
+                until.map_or(0, |it| it.saturating_duration_since(Instant::now()).as_millis());
             beats.cold_ms.store(left as u64, Ordering::Relaxed);
             let known = beats.beat(seq, &nodes, &record);
             sleep_ms(if known { 1200 } else { 200 });
@@ -224,7 +230,11 @@
             continue;
         }
         let (now, cold) = (replica.record.now(), replica.is_cold());
-        replica.record.line(format!("replica {}: runs request {id}{}", replica.addr, if cold { " (cold)" } else { "" }));
+        replica.record.line(format!(
+            "replica {}: runs request {id}{}",
+            replica.addr,
+            if cold { " (cold)" } else { "" }
+        ));
         if cold {
             let mut arrivals = replica.cold_arrivals.lock().expect("not poisoned");
             arrivals.push((now, id.clone()));
@@ -245,7 +255,8 @@
         let mut going = stream.write_all(head.as_bytes()).is_ok();
         for n in 0..EVENTS {
             let event = format!("id: {n}\ndata: token\n\n");
-            going = going && stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok();
+            going = going
+                && stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok();
             if replica.down.load(Ordering::SeqCst) || !going {
                 replica.lost.fetch_add(1, Ordering::Relaxed);
                 return;
--- a/review/rig/src/bin/evacuated_again.rs
+++ b/review/rig/src/bin/evacuated_again.rs
@@ -34,11 +34,14 @@
         for (i, zone) in ["a", "a", "b", "b", "c"].into_iter().enumerate() {
             let addr = SocketAddr::from((fleet.fresh_ip(), 8080));
             let (shared, lines) = (arrivals.clone(), record.clone());
-            http::serve(addr, move |conn| serve_shop(&shared, &lines, zone, conn)).expect("a free address");
-            Beats::new(&format!("i-shop{i}"), "shop", addr, zone, 6).run(fleet.controls(), record.clone());
+            http::serve(addr, move |conn| serve_shop(&shared, &lines, zone, conn))
+                .expect("a free address");
+            Beats::new(&format!("i-shop{i}"), "shop", addr, zone, 6)
+                .run(fleet.controls(), record.clone());
         }
         sleep_ms(2500);
-        let edges: Vec<SocketAddr> = fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
+        let edges: Vec<SocketAddr> =
+            fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
         let ended = Arc::new(AtomicBool::new(false));
         let clients = ask(edges, record.clone(), ended.clone());
         sleep_ms(1000);
@@ -57,7 +60,8 @@
         let since = record.now();
         let finished = fleet.order("/api/Evacuations.Finish/a", "", &nodes, Duration::from_secs(4));
         sleep_ms(50);
-        let again = fleet.order("/api/Evacuations.Start/a", "", &nodes[1..], Duration::from_secs(4));
+        let again =
+            fleet.order("/api/Evacuations.Start/a", "", &nodes[1..], Duration::from_secs(4));
         let acknowledged = record.now();
         assert!(finished && again, "an order wasn't acknowledged");
         if fleet.trouble {
@@ -70,7 +74,8 @@
 
         let due = acknowledged + EVACUATE_MS / 1000.0;
         let arrivals = arrivals.lock().expect("not poisoned");
-        let late: Vec<&Arrival> = arrivals.iter().filter(|(at, zone, _)| *zone == "a" && *at > due).collect();
+        let late: Vec<&Arrival> =
+            arrivals.iter().filter(|(at, zone, _)| *zone == "a" && *at > due).collect();
         let all = arrivals.iter().filter(|(at, _, _)| *at > due).count();
         record.line(format!(
             "zone a was evacuated again at {acknowledged:.3}; from {due:.3} on {} of {all} requests reached its replicas",
@@ -123,4 +128,3 @@
         }
     }
 }
-
--- a/review/rig/src/bin/late_copy.rs
+++ b/review/rig/src/bin/late_copy.rs
@@ -61,16 +61,20 @@
             let shared = world.clone();
             http::serve(addr, move |conn| serve_model(&shared, conn)).expect("a free address");
             let mut beats = Beats::new(&format!("i-kook{i}"), "kook", addr, zone, 64);
-            beats.more = r#","Phase":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}]"#.to_owned();
+            beats.more =
+                r#","Phase":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}]"#.to_owned();
             beats.run(fleet.controls(), record.clone());
             let addr = SocketAddr::from((fleet.fresh_ip(), 8080));
             let shared = world.clone();
             let slot = Arc::new(Mutex::new(()));
-            http::serve(addr, move |conn| serve_stage(&shared, addr, &slot, conn)).expect("a free address");
-            Beats::new(&format!("i-recipes{i}"), "recipes", addr, zone, 1).run(fleet.controls(), record.clone());
+            http::serve(addr, move |conn| serve_stage(&shared, addr, &slot, conn))
+                .expect("a free address");
+            Beats::new(&format!("i-recipes{i}"), "recipes", addr, zone, 1)
+                .run(fleet.controls(), record.clone());
         }
         sleep_ms(2500);
-        let edges: Vec<SocketAddr> = fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
+        let edges: Vec<SocketAddr> =
+            fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
         let clients: Vec<_> = (0..REQUESTS)
             .map(|n| {
                 let (world, edge) = (world.clone(), edges[n as usize % edges.len()]);
@@ -86,13 +90,21 @@
             world.copies.load(Ordering::Relaxed),
             foreign.len()
         ));
-        fleet.finish(foreign.first().map(|it| format!("MIXED: {it} ({} in all; {wrong} clients got what was made of it)", foreign.len())))
+        fleet.finish(foreign.first().map(|it| {
+            format!(
+                "MIXED: {it} ({} in all; {wrong} clients got what was made of it)",
+                foreign.len()
+            )
+        }))
     })
 }
 
 /// Sends one request as a client does; returns 1 if the answer is made of another's data.
 fn ask(world: &World, n: u32, edge: SocketAddr) -> u32 {
-    let (id, key) = (format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + u64::from(n)), format!("{:012x}", 0x7c1e_07a2_0000_u64 + u64::from(n)));
+    let (id, key) = (
+        format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + u64::from(n)),
+        format!("{:012x}", 0x7c1e_07a2_0000_u64 + u64::from(n)),
+    );
     let text = format!(
         "POST /draft/2f HTTP/1.1\r\nHost: draft.example\r\nAttempt-Id: {id}\r\nModel: m\r\n\
          Token-Usage: 1460,80\r\nPrefix-Hash: 5c1e07a2:800,{:08x}:250\r\nChunks: 1\r\nChunk-Key: {key}\r\n\
@@ -128,17 +140,30 @@
 /// Runs a request at a model replica; returns whether the connection goes on.
 fn run_request(world: &World, conn: &mut Conn, request: &Message) -> bool {
     let id = request.header("Attempt-Id").unwrap_or_default().to_owned();
-    let inputs: Vec<String> = request.header("Inputs").unwrap_or_default().split(',').map(|it| it.trim().to_owned()).collect();
+    let inputs: Vec<String> = request
+        .header("Inputs")
+        .unwrap_or_default()
+        .split(',')
+        .map(|it| it.trim().to_owned())
+        .collect();
     let made: Option<Vec<Made>> = {
         let results = world.results.lock().expect("not poisoned");
         inputs.iter().map(|it| results.get(it).cloned()).collect()
     };
     let Some(made) = made else {
         world.record.line(format!("model: request {id}: an input of {inputs:?} is gone, 409"));
-        return conn.write(&http::answer("409 Conflict", &[("Attempt-Id", &id), ("Not-Executed", "1")], b"")).is_ok();
+        return conn
+            .write(&http::answer(
+                "409 Conflict",
+                &[("Attempt-Id", &id), ("Not-Executed", "1")],
+                b"",
+            ))
+            .is_ok();
     };
     let owners: Vec<&str> = made.iter().map(|it| it.request.as_str()).collect();
-    world.record.line(format!("model: runs request {id} with inputs {inputs:?}, made for {owners:?}"));
+    world
+        .record
+        .line(format!("model: runs request {id} with inputs {inputs:?}, made for {owners:?}"));
     if owners.iter().any(|it| *it != id) {
         let text = format!("request {id} ran with inputs that were made for {owners:?}");
         world.foreign.lock().expect("not poisoned").push(text);
@@ -175,7 +200,10 @@
                     let n = world.reused.fetch_add(1, Ordering::Relaxed) + 1;
                     if world.trouble && n % COPY_EVERY == 0 {
                         world.copies.fetch_add(1, Ordering::Relaxed);
-                        world.record.line(format!("stage {addr}: sends its last answer on connection {} once more", conn.number));
+                        world.record.line(format!(
+                            "stage {addr}: sends its last answer on connection {} once more",
+                            conn.number
+                        ));
                         if conn.write(old).is_err() {
                             return;
                         }
@@ -209,7 +237,10 @@
         let text = |name| it.get(name).and_then(Json::text).unwrap_or_default().to_owned();
         let handle = format!("{addr}/{:x}", world.handles.fetch_add(1, Ordering::Relaxed));
         let made = Made { request: text("Id"), key: text("Key") };
-        world.record.line(format!("stage {addr}: made {handle} for request {} from {} (connection {conn})", made.request, made.key));
+        world.record.line(format!(
+            "stage {addr}: made {handle} for request {} from {} (connection {conn})",
+            made.request, made.key
+        ));
         world.results.lock().expect("not poisoned").insert(handle.clone(), made);
         rows.push(format!("{{\"Handle\":\"{handle}\"}}"));
     }
--- a/review/rig/src/bin/other_version.rs
+++ b/review/rig/src/bin/other_version.rs
@@ -72,7 +72,8 @@
             })
             .collect();
         sleep_ms(2500);
-        let edges: Vec<SocketAddr> = fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
+        let edges: Vec<SocketAddr> =
+            fleet.edges().into_iter().map(|it| fleet.frontend(it)).collect();
         let (streams, ended) = (Streams::default(), Arc::new(AtomicBool::new(false)));
         let clients = ask(edges, record.clone(), streams.clone(), ended.clone());
         sleep_ms(5000);
@@ -99,14 +100,22 @@
 
         let streams = streams.lock().expect("not poisoned");
         let is_mixed = |events: &Vec<(u64, u64)>| events.iter().any(|it| it.1 != events[0].1);
-        let mut mixed: Vec<&String> = streams.iter().filter(|(_, it)| is_mixed(it)).map(|(id, _)| id).collect();
+        let mut mixed: Vec<&String> =
+            streams.iter().filter(|(_, it)| is_mixed(it)).map(|(id, _)| id).collect();
         mixed.sort();
         for id in &mixed {
-            let text: Vec<String> = streams[*id].iter().map(|(n, version)| format!("{n}:v{version}")).collect();
+            let text: Vec<String> =
+                streams[*id].iter().map(|(n, version)| format!("{n}:v{version}")).collect();
             record.line(format!("client: stream {id} holds {}", text.join(" ")));
         }
-        record.line(format!("{} of {} streams hold events of two versions", mixed.len(), streams.len()));
-        let text = (mixed.len() > 2).then(|| format!("ORDER: {} streams hold events of two versions, as {}", mixed.len(), mixed[0]));
+        record.line(format!(
+            "{} of {} streams hold events of two versions",
+            mixed.len(),
+            streams.len()
+        ));
+        let text = (mixed.len() > 2).then(|| {
+            format!("ORDER: {} streams hold events of two versions, as {}", mixed.len(), mixed[0])
+        });
         drop(streams);
         fleet.finish(text)
     })
@@ -132,7 +141,9 @@
     thread::spawn(move || {
         sleep_ms(first_ms);
         for seq in 1.. {
-            if replica.down.load(Ordering::SeqCst) || replica.version.load(Ordering::SeqCst) != version {
+            if replica.down.load(Ordering::SeqCst)
+                || replica.version.load(Ordering::SeqCst) != version
+            {
                 return;
             }
             let known = beats.beat(seq, &replica.nodes, &replica.record);
@@ -144,7 +155,12 @@
     });
 }
 
-fn ask(edges: Vec<SocketAddr>, record: Record, streams: Streams, ended: Arc<AtomicBool>) -> thread::JoinHandle<()> {
+fn ask(
+    edges: Vec<SocketAddr>,
+    record: Record,
+    streams: Streams,
+    ended: Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
     thread::spawn(move || {
         let mut n = 0;
         let mut clients = Vec::new();
@@ -174,7 +190,9 @@
         let left = DEADLINE.saturating_sub(began.elapsed());
         let edge = edges[(n as usize + attempt) % edges.len()];
         let id = format!("{:016x}", 0x9c41_d07b_0000_0000_u64 + n * 16 + attempt as u64);
-        let more = events.last().map_or_else(String::new, |(last, _)| format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n"));
+        let more = events.last().map_or_else(String::new, |(last, _)| {
+            format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n")
+        });
         let text = format!(
             "POST /ask/2f HTTP/1.1\r\nHost: ask.example\r\nAttempt-Id: {id}\r\n{more}Model: m\r\n\
              Token-Usage: 543,300\r\nDeadline-Ms: {}\r\nConnection: close\r\nContent-Length: 5\r\n\r\nquery",
@@ -184,7 +202,9 @@
         let wait = read_stream(edge, &text, left, &mut events);
         record.line(format!(
             "client: attempt {id} of stream {first} at {edge}{}: {} events, {}",
-            events.get(before.wrapping_sub(1)).map_or_else(String::new, |it| format!(", after event {}", it.0)),
+            events
+                .get(before.wrapping_sub(1))
+                .map_or_else(String::new, |it| format!(", after event {}", it.0)),
             events.len() - before,
             match &wait {
                 None => "whole".to_owned(),
@@ -200,7 +220,12 @@
 }
 
 /// Reads one answer; returns nothing if the stream is whole, and otherwise when to ask again.
-fn read_stream(edge: SocketAddr, request: &str, left: Duration, events: &mut Vec<(u64, u64)>) -> Option<Duration> {
+fn read_stream(
+    edge: SocketAddr,
+    request: &str,
+    left: Duration,
+    events: &mut Vec<(u64, u64)>,
+) -> Option<Duration> {
     let again = Duration::from_millis(20);
     let Ok(mut stream) = TcpStream::connect(edge) else { return Some(again) };
     let _ = stream.set_read_timeout(Some(left));
@@ -228,7 +253,8 @@
         }
         // An event is `id: N` and `data: vV`.
         let text = String::from_utf8_lossy(&data);
-        let number = |name: &str| text.lines().find_map(|it| it.strip_prefix(name)?.trim().parse().ok());
+        let number =
+            |name: &str| text.lines().find_map(|it| it.strip_prefix(name)?.trim().parse().ok());
         if let (Some(id), Some(version)) = (number("id: "), number("data: v")) {
             events.push((id, version));
         }
@@ -286,7 +312,10 @@
             continue;
         }
         let last: u64 = request.header("Last-Event-Id").and_then(|it| it.parse().ok()).unwrap_or(0);
-        replica.record.line(format!("replica {} (v{version}): runs attempt {id} after event {last}", replica.id));
+        replica.record.line(format!(
+            "replica {} (v{version}): runs attempt {id} after event {last}",
+            replica.id
+        ));
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: 3e1b.07.{id}\r\nWeight-Versions: 1\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -295,7 +324,8 @@
         for n in last + 1..=EVENTS {
             sleep_ms(EVENT_MS);
             let event = format!("id: {n}\ndata: v{version}\n\n");
-            going = going && stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok();
+            going = going
+                && stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok();
             if !going {
                 return;
             }
--- a/review/rig/src/bin/refused_voter.rs
+++ b/review/rig/src/bin/refused_voter.rs
@@ -1,7 +1,8 @@
-//! A core machine that has lost nothing is told that it has, and its process ends.
+//! Core machines that are restarted and have lost nothing are told that they have, and their
+//! processes end, again and again.
 
 use {
-    rig::{http, run, sleep_ms, Fleet, Record, SIGCONT, SIGSTOP},
+    rig::{http, run, sleep_ms, Fleet, Record, SIGCONT, SIGSTOP, SIGTERM},
     std::{
         net::SocketAddr,
         sync::{
@@ -13,11 +14,20 @@
     },
 };
 
-/// How long the first machine stands still, and the second one at the end of that.
-const FIRST_FREEZE_MS: u64 = 3500;
-const SECOND_FREEZE_MS: u64 = 400;
-/// The most rounds, each with a leader that is killed first.
-const ROUNDS: u32 = 5;
+/// How long a machine is away for its restart, and after how long the platform starts a
+/// process again that has ended by itself.
+const AWAY_MS: u64 = 1500;
+const DELAY_MS: u64 = 1000;
+/// How long another machine stands still when one starts.
+const FREEZE_MS: u64 = 420;
+/// Ends of a process within this time after a disruption on its machine don't count.
+const EXCUSED_S: f64 = 1.0;
+/// How often processes may end by themselves on a machine, and on how many machines that may
+/// happen: "three times", "on a tenth of the machines in use (two at least)".
+const ENDS: usize = 3;
+const MACHINES: usize = 2;
+/// The most starts of one machine.
+const MAX_STARTS: usize = 6;
 /// The pause between two configurations.
 const CONFIG_GAP_MS: u64 = 60;
 
@@ -36,87 +46,130 @@
         fleet.found(&config(1));
         // All core machines become voters.
         sleep_ms(6000);
+        let (victims, second) = choose(&mut fleet);
 
-        let mut version = 1;
-        let mut end = None;
-        for round in 1..=ROUNDS {
-            record.line(format!("round {round}"));
-            let ran = play(&mut fleet, version + 1);
-            version = ran.0;
-            end = ran.1;
-            if end.is_some() {
-                break;
-            }
+        let steady = fleet.cores().into_iter().filter(|it| !victims.contains(it) && *it != second);
+        let nodes: Vec<SocketAddr> = steady.map(|it| fleet.control(it)).collect();
+        let (ended, newest) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(1)));
+        let operator = {
+            let (ended, newest, record) = (ended.clone(), newest.clone(), record.clone());
+            thread::spawn(move || send_configs(&record, &nodes, &newest, &ended))
+        };
+        sleep_ms(500);
+        let mut ends = Vec::new();
+        for victim in victims {
+            let count = restart(&mut fleet, victim, second);
+            record.line(format!(
+                "the process of {} ended by itself {count} times without a disruption there",
+                fleet.machines[victim].name
+            ));
+            ends.push((fleet.machines[victim].name.clone(), count, fleet.errors(victim)));
         }
-        record.line(format!("the newest configuration acknowledged is {version}"));
-        fleet.finish(end.map(|it| format!("Fault: {it}")))
+        ended.store(true, Ordering::Relaxed);
+        let _ = operator.join();
+        record.line(format!(
+            "the newest configuration acknowledged is {}",
+            newest.load(Ordering::Relaxed)
+        ));
+        let often = ends.iter().filter(|it| it.1 >= ENDS).count();
+        let text = (often >= MACHINES).then(|| {
+            let counts: Vec<String> =
+                ends.iter().map(|it| format!("{} ended by itself {} times", it.0, it.1)).collect();
+            let why = ends[0].2.lines().last().unwrap_or_default().to_owned();
+            format!("Fault: {}; the last words: {why}", counts.join(", "))
+        });
+        fleet.finish(text)
     })
 }
 
-/// Plays one round with configurations from a version on. Returns the newest one that was
-/// acknowledged, and the end of a process, if one has ended by itself.
-fn play(fleet: &mut Fleet, first: u32) -> (u32, Option<String>) {
-    let record = fleet.record.clone();
-    let (victim, term) = fleet.leader();
-    record.line(format!("{} leads in term {term}", fleet.machines[victim].name));
-    if fleet.trouble {
-        fleet.kill(victim);
-        sleep_ms(1000);
-        fleet.start(victim, false);
+/// Returns the core machines to restart, and the one that both ask first who leads. The
+/// leader is none of them.
+fn choose(fleet: &mut Fleet) -> (Vec<usize>, usize) {
+    // A machine that starts asks the second of the other seeds first.
+    let asked = |at: usize| if at < 2 { 2 } else { 1 };
+    loop {
+        let (leader, term) = fleet.leader();
+        fleet.record.line(format!("{} leads in term {term}", fleet.machines[leader].name));
+        for second in [1, 2].into_iter().filter(|it| *it != leader) {
+            let fits = |it: &usize| *it != leader && asked(*it) == second;
+            let victims: Vec<usize> =
+                fleet.cores().into_iter().filter(fits).take(MACHINES).collect();
+            if victims.len() == MACHINES {
+                return (victims, second);
+            }
+        }
+        // Another has to lead.
+        fleet.signal(leader, SIGTERM, "SIGTERM");
+        sleep_ms(AWAY_MS);
+        fleet.kill(leader);
+        fleet.start(leader, false);
+        sleep_ms(5000);
     }
-    sleep_ms(5000);
-    let (leader, term) = fleet.leader();
-    record.line(format!("{} leads in term {term}", fleet.machines[leader].name));
-    // A machine that hasn't heard of the victim since its restart: neither the leader nor the
-    // seed that the victim asked for the leader.
-    let asked = fleet.cores().into_iter().filter(|it| *it != victim).nth(1).expect("five machines");
-    let mut others = fleet.cores();
-    others.retain(|it| ![victim, leader, asked].contains(it));
-    let second = others[0];
+}
 
-    let steady = [leader].into_iter().chain(others[1..].iter().copied());
-    let nodes: Vec<SocketAddr> = steady.map(|it| fleet.control(it)).collect();
-    let (ended, newest) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(first - 1)));
-    let operator = {
-        let (ended, newest, record) = (ended.clone(), newest.clone(), record.clone());
-        thread::spawn(move || send_configs(&record, &nodes, first, &newest, &ended))
-    };
-    if fleet.trouble {
-        fleet.signal(victim, SIGSTOP, "SIGSTOP");
-        sleep_ms(FIRST_FREEZE_MS - 20);
-        fleet.signal(second, SIGSTOP, "SIGSTOP");
-        sleep_ms(20);
-        fleet.signal(victim, SIGCONT, "SIGCONT");
-        sleep_ms(SECOND_FREEZE_MS - 20);
-        fleet.signal(second, SIGCONT, "SIGCONT");
-    } else {
-        sleep_ms(FIRST_FREEZE_MS + SECOND_FREEZE_MS);
-    }
-    let mut end = None;
-    for _ in 0..150 {
-        sleep_ms(10);
-        let found = (0..fleet.machines.len()).find_map(|at| fleet.exited(at).map(|it| (at, it)));
-        if let Some((at, status)) = found.filter(|_| end.is_none()) {
-            let errors = fleet.errors(at);
-            let why = errors.lines().last().unwrap_or("nothing").to_owned();
-            let text = format!("the process of {} ended by itself ({status}): {why}", fleet.machines[at].name);
-            record.line(&text);
-            end = Some(text);
+/// Restarts a machine by SIGTERM, and again whenever its process ends by itself. Returns how
+/// often that happened without a disruption on the machine.
+fn restart(fleet: &mut Fleet, victim: usize, second: usize) -> usize {
+    let record = fleet.record.clone();
+    fleet.signal(victim, SIGTERM, "SIGTERM");
+    sleep_ms(AWAY_MS);
+    fleet.kill(victim);
+    let mut count = 0;
+    let mut disrupted = record.now();
+    for number in 0..MAX_STARTS {
+        if fleet.trouble {
+            fleet.signal(second, SIGSTOP, "SIGSTOP");
+            sleep_ms(10);
+        }
+        fleet.start(victim, false);
+        if number == 0 {
+            disrupted = record.now();
+        }
+        sleep_ms(FREEZE_MS);
+        if fleet.trouble {
+            fleet.signal(second, SIGCONT, "SIGCONT");
+        }
+        let mut status = None;
+        for _ in 0..150 {
+            sleep_ms(10);
+            status = fleet.exited(victim);
+            if status.is_some() {
+                break;
+            }
+        }
+        let Some(status) = status else { break };
+        let errors = fleet.errors(victim);
+        let why = errors.lines().last().unwrap_or("nothing").to_owned();
+        record.line(format!(
+            "the process of {} ended by itself ({status}): {why}",
+            fleet.machines[victim].name
+        ));
+        count += usize::from(record.now() > disrupted + EXCUSED_S);
+        sleep_ms(DELAY_MS);
+        fleet.kill(victim);
+        if count >= ENDS {
+            fleet.start(victim, false);
+            break;
         }
     }
-    ended.store(true, Ordering::Relaxed);
-    let _ = operator.join();
-    (newest.load(Ordering::Relaxed), end)
+    sleep_ms(2000);
+    count
 }
 
 /// Sends one configuration after the other until it is told to end.
-fn send_configs(record: &Record, nodes: &[SocketAddr], first: u32, newest: &AtomicU32, ended: &AtomicBool) {
-    for version in first.. {
+fn send_configs(record: &Record, nodes: &[SocketAddr], newest: &AtomicU32, ended: &AtomicBool) {
+    for version in 2.. {
         if ended.load(Ordering::Relaxed) {
             return;
         }
         let node = nodes[version as usize % nodes.len()];
-        let answer = http::call(node, "POST", "/api/Config.Replace", &config(version), Duration::from_secs(1));
+        let answer = http::call(
+            node,
+            "POST",
+            "/api/Config.Replace",
+            &config(version),
+            Duration::from_secs(1),
+        );
         let text = answer.as_ref().map_or_else(ToString::to_string, |it| it.status().to_string());
         record.line(format!("operator: configuration {version} to {node}: {text}"));
         if answer.is_ok_and(|it| it.status() == 200) {
--- a/review/rig/src/http.rs
+++ b/review/rig/src/http.rs
@@ -111,7 +111,13 @@
 }
 
 /// Sends a request with a JSON body, or none, and reads the answer.
-pub fn call(addr: SocketAddr, method: &str, path: &str, body: &str, wait: Duration) -> io::Result<Message> {
+pub fn call(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    wait: Duration,
+) -> io::Result<Message> {
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -108,7 +108,8 @@
             next_ip: AtomicU64::new(10),
         };
         let port = |from: u16| {
-            let free = |it: &u16| TcpListener::bind((Ipv4Addr::new(127, net[0], net[1], 10), *it)).is_ok();
+            let free =
+                |it: &u16| TcpListener::bind((Ipv4Addr::new(127, net[0], net[1], 10), *it)).is_ok();
             (from..from + 400).step_by(10).find(free).expect("a free port")
         };
         fleet.ports = [port(21000), port(22000), port(23000), port(24000)];
@@ -116,7 +117,13 @@
             for (i, zone) in zones.iter().enumerate() {
                 let ip = fleet.fresh_ip();
                 let name = format!("{class}-{zone}-{}", i + 1);
-                fleet.machines.push(Machine { name, ip, zone: (*zone).to_owned(), core, child: None });
+                fleet.machines.push(Machine {
+                    name,
+                    ip,
+                    zone: (*zone).to_owned(),
+                    core,
+                    child: None,
+                });
             }
         }
         fleet
@@ -151,7 +158,12 @@
         }
         if it.core {
             let folder = self.folder.join(&it.name);
-            text += &format!("Listen.Control={}:{}\nDataDir={}\n", it.ip, self.ports[CONTROL], folder.display());
+            text += &format!(
+                "Listen.Control={}:{}\nDataDir={}\n",
+                it.ip,
+                self.ports[CONTROL],
+                folder.display()
+            );
         } else {
             text += &format!(
                 "Listen.Frontend={0}:{1}\nListen.Readiness={0}:{2}\n",
@@ -160,7 +172,11 @@
         }
         let internal = self.ports[INTERNAL];
         text += &format!("InternalPorts={internal},{}\n", internal + 9);
-        text += &format!("Seeds={}\nBootstrap={first}\nFaultCounted={}\n", self.seeds().join(","), it.core);
+        text += &format!(
+            "Seeds={}\nBootstrap={first}\nFaultCounted={}\n",
+            self.seeds().join(","),
+            it.core
+        );
         let tolerated = (self.cores().len() - 1) / 2;
         text += &format!("Limits.CpuShare=0.25\nLimits.Cores=1\nLimits.MemoryMb=260\nLimits.MaxFds=4100\n\
                  Limits.LinkMbps=1000.0\nLimits.DiskMb=128\nDiscovery=registration\nEntry=vip\n\
@@ -196,7 +212,8 @@
             .stdout(log("out"))
             .stderr(log("err"))
             .spawn();
-        let child = child.unwrap_or_else(|err| self.give_up(&format!("the program can't be started: {err}")));
+        let child = child
+            .unwrap_or_else(|err| self.give_up(&format!("the program can't be started: {err}")));
         self.record.line(format!("{} started at {}", it.name, it.ip));
         self.machines[at].child = Some(child);
     }
@@ -216,9 +233,16 @@
         }
     }
 
-    /// Kills the process of a machine and waits for its end.
+    /// Kills the process of a machine, unless it has ended, and waits for its end.
     pub fn kill(&mut self, at: usize) {
         if let Some(mut child) = self.machines[at].child.take() {
+            if let Ok(Some(status)) = child.try_wait() {
+                self.record.line(format!(
+                    "the process of {} has ended ({status})",
+                    self.machines[at].name
+                ));
+                return;
+            }
             self.record.line(format!("SIGKILL to {}", self.machines[at].name));
             let _ = child.kill();
             let _ = child.wait();
@@ -274,7 +298,8 @@
         let term_led = |at: &usize| {
             let log = self.log(*at);
             let led = log.lines().filter(|it| it.contains("\"role\":\"Leader\""));
-            let terms = led.filter_map(|it| it.split("\"term\":\"").nth(1)?.split('"').next()?.parse().ok());
+            let terms = led
+                .filter_map(|it| it.split("\"term\":\"").nth(1)?.split('"').next()?.parse().ok());
             terms.max().unwrap_or(0_u64)
         };
         let leaders = self.cores().into_iter().map(|it| (it, term_led(&it)));
@@ -423,7 +448,10 @@
             let answer = http::call(node, "POST", &path, &self.body(seq), Duration::from_secs(1));
             if answer.is_ok_and(|it| it.status() == 200) {
                 if seq == 1 {
-                    record.line(format!("{} of {} at {} is registered", self.id, self.service, self.addr));
+                    record.line(format!(
+                        "{} of {} at {} is registered",
+                        self.id, self.service, self.addr
+                    ));
                 }
                 return true;
             }
