--- a/review/rig/src/bin/refused_voter.rs
+++ b/review/rig/src/bin/refused_voter.rs
@@ -26,8 +26,8 @@
 /// happen: "three times", "on a tenth of the machines in use (two at least)".
 const ENDS: usize = 3;
 const MACHINES: usize = 2;
-/// The most starts of one machine.
-const MAX_STARTS: usize = 6;
+/// How often a machine is restarted at most.
+const MAX_RESTARTS: usize = 4;
 /// The pause between two configurations.
 const CONFIG_GAP_MS: u64 = 60;
 
@@ -110,52 +110,54 @@
 /// Restarts a machine by SIGTERM, and again whenever its process ends by itself. Returns how
 /// often that happened without a disruption on the machine.
 fn restart(fleet: &mut Fleet, victim: usize, second: usize) -> usize {
-    let record = fleet.record.clone();
-    fleet.signal(victim, SIGTERM, "SIGTERM");
-    sleep_ms(AWAY_MS);
-    fleet.kill(victim);
     let mut count = 0;
-    let mut disrupted = record.now();
-    for number in 0..MAX_STARTS {
-        if fleet.trouble {
-            fleet.signal(second, SIGSTOP, "SIGSTOP");
-            sleep_ms(10);
-        }
-        fleet.start(victim, false);
-        if number == 0 {
-            disrupted = record.now();
-        }
-        sleep_ms(FREEZE_MS);
-        if fleet.trouble {
-            fleet.signal(second, SIGCONT, "SIGCONT");
-        }
-        let mut status = None;
-        for _ in 0..150 {
-            sleep_ms(10);
-            status = fleet.exited(victim);
-            if status.is_some() {
-                break;
+    for _ in 0..MAX_RESTARTS {
+        fleet.signal(victim, SIGTERM, "SIGTERM");
+        sleep_ms(AWAY_MS);
+        fleet.kill(victim);
+        let mut disrupted = None;
+        while start(fleet, victim, second) {
+            let now = fleet.record.now();
+            count += usize::from(now > *disrupted.get_or_insert(now) + EXCUSED_S);
+            sleep_ms(DELAY_MS);
+            fleet.kill(victim);
+            if count >= ENDS {
+                fleet.start(victim, false);
+                sleep_ms(2000);
+                return count;
             }
         }
-        let Some(status) = status else { break };
-        let errors = fleet.errors(victim);
-        let why = errors.lines().last().unwrap_or("nothing").to_owned();
-        record.line(format!(
-            "the process of {} ended by itself ({status}): {why}",
-            fleet.machines[victim].name
-        ));
-        count += usize::from(record.now() > disrupted + EXCUSED_S);
-        sleep_ms(DELAY_MS);
-        fleet.kill(victim);
-        if count >= ENDS {
-            fleet.start(victim, false);
+        if !fleet.trouble {
             break;
         }
     }
-    sleep_ms(2000);
     count
 }
 
+/// Starts a machine while another stands still; returns whether its process ends by itself.
+fn start(fleet: &mut Fleet, victim: usize, second: usize) -> bool {
+    if fleet.trouble {
+        fleet.signal(second, SIGSTOP, "SIGSTOP");
+        sleep_ms(10);
+    }
+    fleet.start(victim, false);
+    sleep_ms(FREEZE_MS);
+    if fleet.trouble {
+        fleet.signal(second, SIGCONT, "SIGCONT");
+    }
+    for _ in 0..150 {
+        sleep_ms(10);
+        if let Some(status) = fleet.exited(victim) {
+            let errors = fleet.errors(victim);
+            let why = errors.lines().last().unwrap_or("nothing");
+            let name = &fleet.machines[victim].name;
+            fleet.record.line(format!("the process of {name} ended by itself ({status}): {why}"));
+            return true;
+        }
+    }
+    false
+}
+
 /// Sends one configuration after the other until it is told to end.
 fn send_configs(record: &Record, nodes: &[SocketAddr], newest: &AtomicU32, ended: &AtomicBool) {
     for version in 2.. {
