--- a/review/rig/src/bin/cold_flood.rs
+++ b/review/rig/src/bin/cold_flood.rs
@@ -32,6 +32,8 @@
 const CONFIG: &str = r#"{"Version":1,"Routes":[{"Name":"r-ask","Host":"ask.example","PathPrefix":"/ask/","Type":"streaming","TimeoutMs":8000,"TargetLatencyMs":1800,"Priority":1,"Service":"kook","MaxAttempts":1,"Phases":[],"Public":true,"Sticky":false,"Resumable":false,"InterTokenMs":400}],"Services":[{"Name":"kook","HealthPath":"/healthz","MaxConnections":280,"Protocol":"h1","Tls":false,"ColdStartS":3.0,"ColdPerS":14.0,"Runtime":{"Slots":64,"KvCapacity":394178,"KvBytes":18432,"LinkMbps":550000.0,"Moves":true,"Backups":true,"Stride":7,"most":12,"PinMs":4000.0,"HoldMs":2000.0,"HandleTtlS":5.0,"Models":[{"Name":"m"}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[]}"#;
 
 struct Replica {
+    /// The id of its incarnation.
+    id: Mutex<String>,
     addr: SocketAddr,
     down: AtomicBool,
     /// Until when it is cold.
@@ -67,6 +69,7 @@
         for (i, zone) in ["a", "b", "c"].into_iter().enumerate() {
             let addr = SocketAddr::from((fleet.fresh_ip(), 8080));
             let replica = Arc::new(Replica {
+                id: Mutex::new(format!("i-kook{i}")),
                 addr,
                 down: AtomicBool::new(false),
                 cold_until: Mutex::default(),
@@ -95,6 +98,7 @@
             sleep_ms(DOWN_MS);
             *last.cold_until.lock().expect("not poisoned") =
                 Some(Instant::now() + Duration::from_millis(COLD_MS));
+            "i-kook2-again".clone_into(&mut last.id.lock().expect("not poisoned"));
             last.down.store(false, Ordering::SeqCst);
             record.line("the replica of zone c is back, cold for 3 s");
             announce(&last, "i-kook2-again", "c", &fleet);
@@ -223,6 +227,13 @@
             return;
         }
         let id = request.header("Attempt-Id").unwrap_or_default().to_owned();
+        let own = replica.id.lock().expect("not poisoned").clone();
+        if let Some(answer) = http::misdirected(&request, &own) {
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+            continue;
+        }
         if id.is_empty() {
             if stream.write_all(&http::answer("200 OK", &[], b"")).is_err() {
                 return;
--- a/review/rig/src/bin/evacuated_again.rs
+++ b/review/rig/src/bin/evacuated_again.rs
@@ -34,8 +34,10 @@
         for (i, zone) in ["a", "a", "b", "b", "c"].into_iter().enumerate() {
             let addr = SocketAddr::from((fleet.fresh_ip(), 8080));
             let (shared, lines) = (arrivals.clone(), record.clone());
-            http::serve(addr, move |conn| serve_shop(&shared, &lines, zone, conn))
-                .expect("a free address");
+            http::serve(addr, move |conn| {
+                serve_shop(&shared, &lines, &format!("i-shop{i}"), zone, conn)
+            })
+            .expect("a free address");
             Beats::new(&format!("i-shop{i}"), "shop", addr, zone, 6)
                 .run(fleet.controls(), record.clone());
         }
@@ -110,8 +112,20 @@
     })
 }
 
-fn serve_shop(arrivals: &Mutex<Vec<Arrival>>, record: &Record, zone: &'static str, mut conn: Conn) {
+fn serve_shop(
+    arrivals: &Mutex<Vec<Arrival>>,
+    record: &Record,
+    own: &str,
+    zone: &'static str,
+    mut conn: Conn,
+) {
     while let Some(request) = conn.next() {
+        if let Some(answer) = http::misdirected(&request, own) {
+            if conn.write(&answer).is_err() {
+                return;
+            }
+            continue;
+        }
         let id = request.header("Attempt-Id").unwrap_or_default().to_owned();
         let answer = match id.is_empty() {
             true => http::answer("200 OK", &[], b""),
--- a/review/rig/src/http.rs
+++ b/review/rig/src/http.rs
@@ -146,6 +146,14 @@
     }
 }
 
+/// The answer to a request that is meant for another replica, if it is.
+pub fn misdirected(request: &Message, own: &str) -> Option<Vec<u8>> {
+    request.header("Expected-Instance").filter(|it| *it != own)?;
+    let id = request.header("Attempt-Id").map(|it| ("Attempt-Id", it));
+    let headers: Vec<_> = id.into_iter().chain([("Not-Executed", "1")]).collect();
+    Some(answer("421 Misdirected Request", &headers, b""))
+}
+
 /// The bytes of an answer with a body of known length.
 pub fn answer(status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status}\r\n");
