Compare a restarted voter's log with what its earlier starts acknowledged

Cause: the receiver of a message compared the sender's log as of sending with what was acknowledged by arrival. A peer that stood still read the message after the leader's news of what the new start had acknowledged. Ruled out: lost entries (the log was whole at the start).

The same check let a voter that had lost entries in at a peer that hadn't met it, or once it had caught up.

Acknowledgements are now kept and told by incarnation, and a message names the log that its sender started with, so that each message is compared with what earlier starts acknowledged. A process ends on a peer's word only if that names an entry that it did not start with.

--- a/crates/coord/src/control/envelope.rs
+++ b/crates/coord/src/control/envelope.rs
@@ -15,9 +15,12 @@
     /// Random for each start of a process, so that two processes on copies of one
     /// data folder differ.
     pub nonce: u64,
-    /// The last index of the sender's log at the time of sending. A sender that
-    /// lost its log can't catch up before its first message is checked.
+    /// The last index of the sender's log at the time of sending.
     pub last: Index,
+    /// The last index of the log that the sender found on its disk when it started. Earlier
+    /// builds don't send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restored: Option<Index>,
     pub body: T,
 }
 
--- a/crates/coord/src/control/guard.rs
+++ b/crates/coord/src/control/guard.rs
@@ -27,8 +27,12 @@
         Self { system, latest: IndexMap::new() }
     }
 
-    /// Checks the sender of a message. `acked` is the last index known to have
-    /// been both durable at that sender and committed.
+    /// Checks the sender of a message. `acked` is the last committed index that earlier
+    /// starts of the sender are known to have made durable.
+    ///
+    /// A sender with less than that on its disk at its start lost data, even if it has
+    /// caught up since and whether or not it was met before. One of an earlier build is
+    /// judged by the length of its log at its first message.
     ///
     /// # Errors
     /// The message is rejected: the caller drops it and returns the reason to the
@@ -37,17 +41,17 @@
         let (ours, theirs) = (self.system, envelope.system);
         ensure!(ours == theirs, super::envelope::ForeignSnafu { ours, theirs });
         let new = LatestStart { incarnation: envelope.incarnation, nonce: envelope.nonce };
-        let Some(old) = self.latest.get(&envelope.from).copied() else {
-            self.latest.insert(envelope.from, new);
-            return Ok(());
-        };
-        ensure!(new.incarnation >= old.incarnation, super::envelope::OutdatedSnafu);
-        if new.incarnation == old.incarnation {
-            ensure!(new.nonce == old.nonce, super::envelope::ClonedSnafu);
-            return Ok(());
+        let old = self.latest.get(&envelope.from).copied();
+        if let Some(old) = old {
+            ensure!(new.incarnation >= old.incarnation, super::envelope::OutdatedSnafu);
+            let is_copy = new.incarnation == old.incarnation && new.nonce != old.nonce;
+            ensure!(!is_copy, super::envelope::ClonedSnafu);
+        }
+        let is_new = old.is_none_or(|it| it.incarnation < new.incarnation);
+        if is_new || envelope.restored.is_some() {
+            let (has, had) = (envelope.restored.unwrap_or(envelope.last), acked);
+            ensure!(has >= had, super::envelope::LostDataSnafu { has, had });
         }
-        let (has, had) = (envelope.last, acked);
-        ensure!(has >= had, super::envelope::LostDataSnafu { has, had });
         self.latest.insert(envelope.from, new);
         Ok(())
     }
--- a/crates/coord/src/raft/message.rs
+++ b/crates/coord/src/raft/message.rs
@@ -1,7 +1,7 @@
 //! Raft messages.
 
 use {
-    super::{Entry, Snapshot},
+    super::{Acknowledged, Entry, Snapshot},
     crate::ids::{Index, NodeId, Term},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -37,6 +37,10 @@
         /// For each voter and learner, the last index that the leader knows to
         /// be durable there and committed.
         acked: Vec<(NodeId, Index)>,
+        /// The same by the starts of these instances. Earlier builds neither send nor
+        /// read it.
+        #[serde(default)]
+        starts: Vec<(NodeId, Acknowledged)>,
     },
     AppendReply {
         term: Term,
--- a/crates/coord/src/raft/mod.rs
+++ b/crates/coord/src/raft/mod.rs
@@ -10,6 +10,7 @@
 //! applies the entries that [`Raft::take_committed`] returns. Messages from
 //! [`Raft::take_ready`] can be sent at once.
 
+mod acknowledged;
 mod config;
 mod election;
 mod log;
@@ -20,6 +21,7 @@
 mod replication;
 
 pub use {
+    acknowledged::Acknowledged,
     config::Config,
     log::{Entry, Log, Payload, Snapshot},
     message::{Message, Outgoing},
--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -1,9 +1,9 @@
 //! The Raft state of one voter.
 
 use {
-    super::{Config, Entry, Log, Message, Outgoing, Payload, Progress, Snapshot},
+    super::{Acknowledged, Config, Entry, Log, Message, Outgoing, Payload, Progress, Snapshot},
     crate::{
-        ids::{Bytes, Index, NodeId, Term},
+        ids::{Bytes, Incarnation, Index, NodeId, Term},
         tables::Command,
         time::{Millis, Time},
     },
@@ -136,9 +136,11 @@
     pub(super) after_sync: Vec<Outgoing>,
     /// Messages to send at once.
     pub(super) ready: Vec<Outgoing>,
-    /// For each voter and learner, the last index known to be durable there and
-    /// committed.
-    pub(super) acked: IndexMap<NodeId, Index>,
+    /// For each voter and learner, what is known to be durable there and committed.
+    pub(super) acked: IndexMap<NodeId, Acknowledged>,
+    /// The latest start of each voter and learner of which this voter has accepted a
+    /// message, and its own.
+    pub(super) incarnations: IndexMap<NodeId, Incarnation>,
     pub(super) rng: StdRng,
 }
 
@@ -177,6 +179,7 @@
             after_sync: Vec::new(),
             ready: Vec::new(),
             acked: IndexMap::new(),
+            incarnations: IndexMap::new(),
             rng: StdRng::seed_from_u64(seed),
         };
         raft.reset_election_timeout(now);
@@ -275,10 +278,16 @@
         self.log.size_between(after, last)
     }
 
-    /// The last index known to be durable at a voter or learner and committed;
-    /// zero if unknown.
-    pub fn acked(&self, id: NodeId) -> Index {
-        self.acked.get(&id).copied().unwrap_or_default()
+    /// The last index that a voter or learner is known to have acknowledged before the
+    /// given start of its process; zero if unknown.
+    pub fn acked_before(&self, id: NodeId, incarnation: Incarnation) -> Index {
+        self.acked.get(&id).map_or(Index(0), |it| it.before(incarnation))
+    }
+
+    /// Records the start of a voter's or learner's process that sends the messages
+    /// passed to [`Self::step`] from now on, or this voter's own.
+    pub fn set_incarnation(&mut self, id: NodeId, incarnation: Incarnation) {
+        self.incarnations.insert(id, incarnation);
     }
 
     /// Whether this voter leads and has committed an entry of its term.
@@ -402,9 +411,12 @@
             Message::VoteReply { term, pre, granted } => {
                 self.on_vote_reply(now, from, term, pre, granted);
             }
-            Message::Append { term, prev, prev_term, entries, commit, sent, acked } => {
+            // What `acked` says can't be told from what a new start has acknowledged since.
+            Message::Append { term, prev, prev_term, entries, commit, sent, acked: _, starts } => {
                 if self.accept_leader(now, from, term) {
-                    self.acked.extend(acked);
+                    for (id, acked) in starts {
+                        self.acked.entry(id).or_default().merge(acked);
+                    }
                     self.on_append(from, (prev, prev_term), entries, commit, sent);
                 }
             }
--- a/crates/coord/src/raft/replication.rs
+++ b/crates/coord/src/raft/replication.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ELECTION_TIMEOUT_MAX, Entry, HEARTBEAT_INTERVAL, LogOp, Message, Outgoing, Progress, Raft,
-        Role, Snapshot,
+        Acknowledged, ELECTION_TIMEOUT_MAX, Entry, HEARTBEAT_INTERVAL, LogOp, Message, Outgoing,
+        Progress, Raft, Role, Snapshot,
         raft::{MAX_APPEND_ENTRIES, MAX_APPEND_SIZE, MAX_UNACKNOWLEDGED},
     },
     crate::{
@@ -47,7 +47,8 @@
     }
 
     fn send(&mut self, now: Time, to: NodeId, heartbeat: bool) {
-        let acked = self.acked.iter().map(|(id, index)| (*id, *index)).collect();
+        let acked = self.acked.iter().map(|(id, it)| (*id, it.index.max(it.before))).collect();
+        let starts = self.acked.iter().map(|(id, it)| (*id, *it)).collect();
         let progress = self.followers.get_mut(&to).expect("every follower has a progress entry");
         if heartbeat {
             progress.check_silence(now);
@@ -68,6 +69,7 @@
                     commit: Index(0),
                     sent: now.0,
                     acked,
+                    starts,
                 };
                 self.ready.push(Outgoing { to, message });
             }
@@ -91,6 +93,7 @@
             commit: self.commit_index,
             sent: now.0,
             acked,
+            starts,
         };
         self.ready.push(Outgoing { to, message });
     }
@@ -249,10 +252,12 @@
             self.commit_index = quorum_index;
             self.update_committed_config();
         }
-        for (id, progress) in &self.followers {
-            self.acked.insert(*id, progress.matched.min(self.commit_index));
+        let matched = self.followers.iter().map(|(id, it)| (*id, it.matched));
+        for (id, index) in matched.chain([(self.id, self.durable_index)]) {
+            let incarnation = self.incarnations.get(&id).copied().unwrap_or_default();
+            let acked = Acknowledged::new(incarnation, index.min(self.commit_index));
+            self.acked.entry(id).or_default().merge(acked);
         }
-        self.acked.insert(self.id, self.durable_index.min(self.commit_index));
         self.step_down_if_removed();
     }
 
--- a/crates/coord/tests/raft_steps.rs
+++ b/crates/coord/tests/raft_steps.rs
@@ -43,6 +43,7 @@
         commit: Index(prev),
         sent,
         acked: Vec::new(),
+        starts: Vec::new(),
     }
 }
 
@@ -89,6 +90,7 @@
         commit: Index(2),
         sent: 5,
         acked: Vec::new(),
+        starts: Vec::new(),
     };
 
     raft.step(START, SECOND, message);
@@ -110,6 +112,7 @@
         commit: Index(2),
         sent: index,
         acked: Vec::new(),
+        starts: Vec::new(),
     };
     raft.step(START, SECOND, append(3));
     let batch = raft.take_batch().expect("the entry");
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -93,6 +93,8 @@
     /// Random for each process, so that peers detect a cloned identity.
     pub(super) nonce: u64,
     pub(super) voter: Option<Voter>,
+    /// The last index of the log that was on the disk when the process started.
+    pub(super) restored: Option<Index>,
     pub(super) disk: Option<DiskWriter>,
     pub(super) guard: Option<PeerGuard>,
     pub(super) holder: LeaseHolder,
@@ -147,7 +149,9 @@
         router.set_gate(context.gate.clone());
         let node = context.identity.node;
         let mut voter = restored.map(|it| Voter::new(node, it, now, context.seed));
+        let restored = voter.as_ref().map(|it| it.raft().last_index());
         if let Some(voter) = &mut voter {
+            voter.raft_mut().set_incarnation(node, context.identity.incarnation);
             voter.set_voter_repair(context.settings.mend_voters);
             let founding =
                 !context.settings.found_with.is_empty() && context.identity.system.is_some();
@@ -162,6 +166,7 @@
             peer_addr: context.peer_addr,
             nonce: rand::random(),
             voter,
+            restored,
             disk,
             holder: LeaseHolder::new(),
             router,
@@ -302,6 +307,7 @@
             incarnation: self.identity.incarnation,
             nonce: self.nonce,
             last: self.voter.as_ref().map_or(Index(0), |it| it.raft().last_index()),
+            restored: self.restored,
             body,
         }))
     }
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -4,7 +4,7 @@
     super::{Core, core::Pending},
     crate::peers::{PeerAnswer, PeerCall, PeerError, Responder},
     coord::{
-        control::{Envelope, PeerRefusal, ProposalError, RenewError, Token},
+        control::{Envelope, PeerRefusal, ProposalError, RenewError, Token, Voter},
         ids::Index,
         time::Time,
     },
@@ -13,18 +13,24 @@
 impl Core {
     /// Handles a peer's call.
     pub(super) fn on_peer(&mut self, now: Time, call: Envelope<PeerCall>, respond: Responder) {
-        let acked = self.voter.as_ref().map_or(Index(0), |it| it.raft().acked(call.from));
+        let raft = self.voter.as_ref().map(Voter::raft);
+        let acked = raft.map_or(Index(0), |it| it.acked_before(call.from, call.incarnation));
         let Some(guard) = &mut self.guard else {
             return;
         };
         if let Err(refusal) = guard.check(&call, acked) {
-            log::warn!("[peers] A message of {} is refused: {refusal}.", call.from);
+            log::warn!(
+                node:% = call.from, incarnation:% = call.incarnation, last:% = call.last,
+                restored:? = call.restored, acked_before:% = acked;
+                "[peers] A message of {} is refused: {refusal}.", call.from
+            );
             let _ = respond.send(PeerAnswer::Refused(refusal));
             return;
         }
         match call.body {
             PeerCall::Raft { to, message } => {
                 if let Some(voter) = self.voter.as_mut().filter(|_| to == self.identity.node) {
+                    voter.raft_mut().set_incarnation(call.from, call.incarnation);
                     voter.step(now, call.from, message);
                 }
                 let _ = respond.send(PeerAnswer::Accepted);
@@ -125,6 +131,12 @@
             PeerRefusal::Foreign { .. } => {
                 log::error!("[peers] A peer refused a message: {refusal}.");
             }
+            PeerRefusal::LostData { had, .. } if self.restored.is_some_and(|it| it >= *had) => {
+                log::error!(
+                    restored:? = self.restored;
+                    "[peers] A peer refused a message, but this process lost nothing: {refusal}."
+                );
+            }
             PeerRefusal::Outdated | PeerRefusal::Cloned | PeerRefusal::LostData { .. } => {
                 self.fatal(&format!("[peers] A peer refused this process: {refusal}."));
             }
