Carry out no order whose caller has given up

Cause: an instance that stood still read an order to end the evacuation after its caller had had it acknowledged elsewhere and had evacuated the zone again. Each copy of an order was a change of its own, without a base, and nobody looked whether its caller still waited. Ruled out: a second application of one change, and an earlier leader.

Orders without an identifier are now bound to the version that a confirmed leader had while the caller still waited, so that the voters refuse one that was overtaken. All changes by operators carry a watch on their caller, and an instance that stood still refuses what it reads just afterwards. Changes without a base and changes of voters wait for a confirmed read at the leader too. A deregistration names the start that it is of.

--- a/crates/coord/src/control/deregistrations.rs
+++ b/crates/coord/src/control/deregistrations.rs
@@ -6,7 +6,7 @@
 //! deregistration.
 
 use crate::{
-    ids::EndpointName,
+    ids::{EndpointName, Generation},
     tables::{Endpoint, EndpointState, Tables},
     time::{Millis, Time},
 };
@@ -18,14 +18,23 @@
 #[derive(Debug, PartialEq, Eq)]
 pub enum DeregistrationStep<T> {
     /// Proposes this row, which marks the endpoint as leaving.
-    Propose(Endpoint, T),
-    /// Nothing of the endpoint is registered that isn't marked as leaving.
+    Propose(Departure, Endpoint, T),
+    /// Nothing is registered of that start of the endpoint, or an earlier one, that isn't
+    /// marked as leaving.
     Done(T),
 }
 
+/// The start of an endpoint that deregisters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Departure {
+    pub name: EndpointName,
+    /// `None` if the endpoint doesn't name it: then whichever is registered.
+    pub generation: Option<Generation>,
+}
+
 #[derive(Debug)]
 struct Waiting<T> {
-    name: EndpointName,
+    departure: Departure,
     /// The time of which the copy has to be.
     since: Time,
     expires: Time,
@@ -49,14 +58,14 @@
     pub fn begin(
         &mut self,
         now: Time,
-        name: &EndpointName,
+        departure: &Departure,
         tables: &Tables,
         ticket: T,
     ) -> Option<(Endpoint, T)> {
-        match leaving_row(tables, name) {
+        match leaving_row(tables, departure) {
             Some(row) => Some((row, ticket)),
             None => {
-                self.wait(now, name.clone(), ticket);
+                self.wait(now, departure.clone(), ticket);
                 None
             }
         }
@@ -64,16 +73,16 @@
 
     /// Lets a deregistration wait whose proposed row changed nothing: there is a newer row,
     /// or the endpoint is marked already.
-    pub fn wait(&mut self, now: Time, name: EndpointName, ticket: T) {
+    pub fn wait(&mut self, now: Time, departure: Departure, ticket: T) {
         let expires = now + DEREGISTRATION_TIMEOUT;
-        self.waiting.push(Waiting { name, since: now, expires, ticket });
+        self.waiting.push(Waiting { departure, since: now, expires, ticket });
     }
 
     /// Returns the next steps now that the tables hold all that was committed at `asked`.
     pub fn refresh(&mut self, asked: Time, tables: &Tables) -> Vec<DeregistrationStep<T>> {
         let ready = self.waiting.extract_if(.., |it| it.since <= asked);
-        let step = |it: Waiting<T>| match leaving_row(tables, &it.name) {
-            Some(row) => DeregistrationStep::Propose(row, it.ticket),
+        let step = |it: Waiting<T>| match leaving_row(tables, &it.departure) {
+            Some(row) => DeregistrationStep::Propose(it.departure, row, it.ticket),
             None => DeregistrationStep::Done(it.ticket),
         };
         ready.map(step).collect()
@@ -90,8 +99,11 @@
     }
 }
 
-/// The row that marks an endpoint as leaving, if the tables hold one that isn't.
-fn leaving_row(tables: &Tables, name: &EndpointName) -> Option<Endpoint> {
-    let row = tables.endpoints.get(name).filter(|it| it.state != EndpointState::Leaving)?;
-    Some(Endpoint { state: EndpointState::Leaving, ..row.clone() })
+/// The row that marks a start of an endpoint as leaving, if the tables hold one of it, or of
+/// an earlier start, that isn't.
+fn leaving_row(tables: &Tables, departure: &Departure) -> Option<Endpoint> {
+    let row = tables.endpoints.get(&departure.name)?;
+    let generation = departure.generation.unwrap_or(row.generation);
+    let is_due = row.state != EndpointState::Leaving && row.generation <= generation;
+    is_due.then(|| Endpoint { state: EndpointState::Leaving, generation, ..row.clone() })
 }
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -24,7 +24,7 @@
 pub use {
     crash_evidence::{CRASH_WINDOW, CrashEvidence, CrashReport},
     cut_table::CutTable,
-    deregistrations::{DeregistrationStep, Deregistrations},
+    deregistrations::{Departure, DeregistrationStep, Deregistrations},
     endpoints::EndpointTable,
     envelope::{Envelope, PeerRefusal},
     feed::{Feed, UpdateForm},
--- a/crates/coord/tests/deregistrations.rs
+++ b/crates/coord/tests/deregistrations.rs
@@ -2,7 +2,7 @@
 
 use {
     coord::{
-        control::{DeregistrationStep, Deregistrations},
+        control::{Departure, DeregistrationStep, Deregistrations},
         ids::{EndpointName, Generation, Index, Slots},
         tables::{Command, Endpoint, EndpointState, Outcome, State, Tables},
         time::{Millis, Time},
@@ -33,6 +33,10 @@
     }
 }
 
+fn departure(number: u64, generation: Option<u64>) -> Departure {
+    Departure { name: name(number), generation: generation.map(Generation) }
+}
+
 fn is_live(tables: &Tables, number: u64, generation: u64) -> bool {
     let row = tables.endpoints.get(&name(number));
     row.is_some_and(|it| it.generation.0 <= generation && it.state != EndpointState::Leaving)
@@ -84,8 +88,8 @@
     fn deregister(&mut self, now: Time, at: usize, number: u64) {
         let ticket = (number, self.generations[number as usize]);
         let it = &mut self.instances[at];
-        if let Some((row, ticket)) = it.deregistrations.begin(now, &name(number), &it.copy, ticket)
-        {
+        let unnamed = departure(number, None);
+        if let Some((row, ticket)) = it.deregistrations.begin(now, &unnamed, &it.copy, ticket) {
             self.propose(now, at, row, ticket);
         }
     }
@@ -93,7 +97,7 @@
     fn propose(&mut self, now: Time, at: usize, row: Endpoint, ticket: Ticket) {
         match self.commit(row) {
             Outcome::Stale => {
-                self.instances[at].deregistrations.wait(now, name(ticket.0), ticket);
+                self.instances[at].deregistrations.wait(now, departure(ticket.0, None), ticket);
             }
             _ => self.acknowledge(ticket),
         }
@@ -113,7 +117,7 @@
         it.copy = self.state.tables.clone();
         for step in it.deregistrations.refresh(now, &it.copy) {
             match step {
-                DeregistrationStep::Propose(row, ticket) => self.propose(now, at, row, ticket),
+                DeregistrationStep::Propose(_, row, ticket) => self.propose(now, at, row, ticket),
                 DeregistrationStep::Done(ticket) => self.acknowledge(ticket),
             }
         }
@@ -163,7 +167,7 @@
 #[test]
 fn an_instance_that_gets_no_copy_gives_a_deregistration_up() {
     let mut deregistrations = Deregistrations::default();
-    deregistrations.begin(Time(10), &name(1), &Tables::default(), 7);
+    deregistrations.begin(Time(10), &departure(1, None), &Tables::default(), 7);
 
     let early = deregistrations.expire(Time(2000));
     let late = deregistrations.expire(Time(3010));
@@ -171,3 +175,38 @@
     assert_eq!((early, late), (vec![], vec![7]));
     assert!(deregistrations.is_empty());
 }
+
+/// Guards against a deregistration that is under way while its endpoint starts again under its
+/// name, and takes the new start out of service.
+#[test]
+fn a_late_deregistration_leaves_a_later_start_in_service() {
+    let mut system = System::new();
+    system.announce(0);
+    system.announce(0);
+    let it = &mut system.instances[0];
+
+    for copy in [Tables::default(), system.state.tables.clone()] {
+        let late = it.deregistrations.begin(Time(10), &departure(0, Some(1)), &copy, (0, 1));
+        assert_eq!(late, None);
+    }
+    let steps = it.deregistrations.refresh(Time(20), &system.state.tables);
+
+    assert_eq!(steps, [DeregistrationStep::Done((0, 1)), DeregistrationStep::Done((0, 1))]);
+    assert!(is_live(&system.state.tables, 0, 2));
+}
+
+/// A deregistration that overtakes the announcement of its start takes out that start too.
+#[test]
+fn a_start_that_deregisters_before_it_is_announced_is_not_registered_any_more() {
+    let mut system = System::new();
+    system.announce(0);
+    let it = &mut system.instances[0];
+
+    let begun =
+        it.deregistrations.begin(Time(10), &departure(0, Some(2)), &system.state.tables, (0, 2));
+    let (row, _) = begun.expect("an earlier start is registered");
+    system.commit(row);
+
+    assert_eq!(system.commit(endpoint(0, 2)), Outcome::Stale);
+    assert!(!is_live(&system.state.tables, 0, 2));
+}
--- a/crates/daemon/src/core/callers.rs
+++ b/crates/daemon/src/core/callers.rs
@@ -10,8 +10,8 @@
     crate::telemetry::RequestLabels,
     coord::{
         claims::ClaimRequest,
-        control::{DeregistrationStep, EndpointReport},
-        ids::{EndpointName, RequestId},
+        control::{Departure, DeregistrationStep, EndpointReport},
+        ids::RequestId,
         router::{Action, ClaimParams, Finish, Submission},
         tables::{Command, Endpoint},
         time::{Millis, Time},
@@ -95,7 +95,7 @@
     pub(super) fn on_deregister(
         &mut self,
         now: Time,
-        name: &EndpointName,
+        departure: Departure,
         committed: CommitNotice,
     ) {
         if !self.holder.has_lease(now) {
@@ -103,10 +103,10 @@
             return;
         }
         let tables = self.holder.tables();
-        match self.deregistrations.begin(now, name, tables, committed) {
-            Some((row, committed)) => self.propose_leaving(now, row, committed),
+        match self.deregistrations.begin(now, &departure, tables, committed) {
+            Some((row, committed)) => self.propose_leaving(now, departure, row, committed),
             None => log::info!(
-                endpoint:% = name, index:% = self.holder.index();
+                endpoint:% = departure.name, index:% = self.holder.index();
                 "[endpoints] deregistration waits for more recent tables"
             ),
         }
@@ -117,16 +117,22 @@
         let tables = self.holder.tables().clone();
         for step in self.deregistrations.refresh(asked, &tables) {
             match step {
-                DeregistrationStep::Propose(row, committed) => {
-                    self.propose_leaving(now, row, committed);
+                DeregistrationStep::Propose(departure, row, committed) => {
+                    self.propose_leaving(now, departure, row, committed);
                 }
                 DeregistrationStep::Done(committed) => notify(committed, true),
             }
         }
     }
 
-    fn propose_leaving(&mut self, now: Time, row: Endpoint, committed: CommitNotice) {
-        let origin = Origin::Deregistration { endpoint: row.name.clone(), committed };
+    fn propose_leaving(
+        &mut self,
+        now: Time,
+        departure: Departure,
+        row: Endpoint,
+        committed: CommitNotice,
+    ) {
+        let origin = Origin::Deregistration { departure, committed };
         self.propose_endpoint(now, row, origin);
     }
 
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -51,6 +51,11 @@
 const GAUGE_INTERVAL: Millis = Millis(500);
 /// The least time between two reports of what a leader sends.
 const REPORT_INTERVAL: Millis = Millis(1000);
+/// The least time without periodic work after which the process counts as having stood
+/// still: half of the second that callers of the control interface wait.
+const MIN_STALL: Millis = Millis(500);
+/// How long after that requests may be read that were sent before.
+const BACKLOG_TIME: Millis = Millis(200);
 
 /// A caller whose request is unfinished.
 pub(super) struct CallerRow {
@@ -131,6 +136,10 @@
     logged_view: Option<VoterView>,
     gauges_at: Time,
     reported_at: Time,
+    /// When the periodic work last ran.
+    ticked_at: Time,
+    /// When the process last went on after it had stood still.
+    resumed_at: Option<Time>,
     start: Instant,
 }
 
@@ -196,6 +205,8 @@
             logged_view: None,
             gauges_at: now,
             reported_at: now,
+            ticked_at: now,
+            resumed_at: None,
             start: context.start,
         };
         core.flush(now);
@@ -220,8 +231,8 @@
             Event::Announce { announcement, committed } => {
                 self.on_announcement(now, *announcement, committed);
             }
-            Event::Deregister { endpoint, committed } => {
-                self.on_deregister(now, &endpoint, committed)
+            Event::Deregister { departure, committed } => {
+                self.on_deregister(now, departure, committed);
             }
             Event::EndpointCrashed { report, at } => {
                 let at = self.time(at);
@@ -253,6 +264,11 @@
     /// Runs the periodic work.
     pub fn tick(&mut self, cx: CX![]) {
         let now = self.time(cx.now());
+        if now.since(self.ticked_at) >= MIN_STALL {
+            log::warn!(stood_still_ms = now.since(self.ticked_at).0; "[core] the process goes on");
+            self.resumed_at = Some(now);
+        }
+        self.ticked_at = now;
         if let Some(voter) = &mut self.voter {
             voter.tick(now);
         }
@@ -288,6 +304,13 @@
         Time(now.saturating_duration_since(self.start).as_millis() as u64 + 1)
     }
 
+    /// Whether what has just been read may have been sent long ago, as the process stood
+    /// still meanwhile.
+    pub(super) fn is_after_stall(&self, now: Time) -> bool {
+        now.since(self.ticked_at) >= MIN_STALL
+            || self.resumed_at.is_some_and(|it| now.since(it) < BACKLOG_TIME)
+    }
+
     pub(super) fn wall_time(&self) -> WallTime {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         WallTime(since_epoch.as_millis() as u64)
--- a/crates/daemon/src/core/operators.rs
+++ b/crates/daemon/src/core/operators.rs
@@ -8,16 +8,16 @@
     },
     crate::{
         operators::{OperatorAnswer, OperatorCall, OperatorRequest},
-        peers::{AdminAnswer, AdminRequest, PeerCall, PeerError},
+        peers::{AdminAnswer, AdminRequest, PeerAnswer, PeerCall, PeerError, Responder},
     },
     coord::{
         claims::{Answer, Settlement},
         control::{ProposalError, Status, Voter},
-        ids::{InstanceName, NodeId, SystemId},
+        ids::{ChangeId, InstanceName, NodeId, SystemId, Version},
         raft::Config,
-        tables::{Change, Command},
+        tables::{Change, ChangeOutcome, Command, Outcome},
         time::{Millis, Time},
-        wire::{OperatorError, TablesView},
+        wire::{ChangeRequest, OperatorError, TablesView},
     },
 };
 
@@ -28,20 +28,52 @@
 /// The most history rows in an answer, newest first.
 const MAX_HISTORY_ROWS: usize = 1000;
 
+const NO_LEASE: &str = "this instance holds no lease; nothing was done";
+
+/// Who waits for the leader's answer.
+pub(super) enum AdminCaller {
+    Peer(Responder),
+    Own { call: Box<OperatorCall>, deadline: Time },
+}
+
+impl AdminCaller {
+    fn is_waiting(&self) -> bool {
+        match self {
+            Self::Peer(respond) => !respond.is_closed(),
+            Self::Own { call, .. } => call.caller.is_waiting(),
+        }
+    }
+
+    fn answer(self, core: &mut Core, now: Time, answer: Result<AdminAnswer, ProposalError>) {
+        match self {
+            Self::Peer(respond) => {
+                // The peer may have given up.
+                let _ = respond.send(PeerAnswer::Admin(answer));
+            }
+            Self::Own { call, deadline } => core.on_admin_answer(now, call, deadline, Ok(answer)),
+        }
+    }
+}
+
 impl Core {
     /// Handles a request of an operator.
     pub(super) fn on_operator(&mut self, now: Time, call: OperatorCall) {
         let deadline = now + OPERATOR_TIMEOUT;
+        if call.request.is_order() && self.is_after_stall(now) {
+            let detail = "this instance stood still and can't tell how old the request is";
+            return refuse(call, detail);
+        }
         let command = match &call.request {
             OperatorRequest::Found => return self.found_system(call),
             OperatorRequest::Admin(_) => return self.ask_leader(now, Box::new(call), deadline),
-            OperatorRequest::Change(it) => Command::Change(Change {
-                id: it.id,
-                base: it.base,
-                author: it.author.clone(),
-                at: self.wall_time(),
-                edits: it.edits.clone(),
-            }),
+            OperatorRequest::Change(ChangeRequest { base: None, .. })
+            | OperatorRequest::Edits { .. } => {
+                if !self.holder.has_lease(now) {
+                    return refuse(call, NO_LEASE);
+                }
+                return self.ask_leader(now, Box::new(call), deadline);
+            }
+            OperatorRequest::Change(it) => Command::Change(self.change(it)),
             OperatorRequest::Catalog { catalog, document } => {
                 Command::Catalog { catalog: catalog.clone(), document: document.clone() }
             }
@@ -56,13 +88,68 @@
             },
         };
         if !self.holder.has_lease(now) {
-            refuse(call, "this instance holds no lease; nothing was done");
-            return;
+            return refuse(call, NO_LEASE);
         }
-        let origin = Origin::Operator(Box::new(call));
+        let origin = Origin::Operator { call: Box::new(call), deadline };
         self.propose(now, Proposal::new(origin, command, deadline));
     }
 
+    fn change(&self, request: &ChangeRequest) -> Change {
+        Change {
+            id: request.id,
+            base: request.base,
+            author: request.author.clone(),
+            at: self.wall_time(),
+            edits: request.edits.clone(),
+        }
+    }
+
+    /// Proposes a change whose caller still waits, now that the tables are known to have
+    /// had this version while it did. One without an identifier of its own is bound to
+    /// that version, so that it can't undo a later one, however late it is committed.
+    fn propose_change(
+        &mut self,
+        now: Time,
+        call: Box<OperatorCall>,
+        deadline: Time,
+        version: Version,
+    ) {
+        let change = match &call.request {
+            OperatorRequest::Change(it) => self.change(it),
+            OperatorRequest::Edits { author, edits } => Change {
+                id: ChangeId::generate(),
+                base: Some(version),
+                author: author.clone(),
+                at: self.wall_time(),
+                edits: edits.clone(),
+            },
+            _ => unreachable!("only changes are proposed after a read"),
+        };
+        let edits = change.edits.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
+        log::info!(
+            id:% = change.id, version:% = version, edits = edits;
+            "[operators] change proposed"
+        );
+        let origin = Origin::Operator { call, deadline };
+        self.propose(now, Proposal::new(origin, Command::Change(change), deadline));
+    }
+
+    /// Handles the outcome of an operator's command.
+    pub(super) fn on_operator_outcome(
+        &mut self,
+        now: Time,
+        call: Box<OperatorCall>,
+        deadline: Time,
+        outcome: Outcome,
+    ) {
+        let overtaken = matches!(outcome, Outcome::Change(ChangeOutcome::Conflict { .. }));
+        if overtaken && matches!(call.request, OperatorRequest::Edits { .. }) {
+            self.ask_leader(now, call, deadline);
+            return;
+        }
+        (call.respond)(OperatorAnswer::Outcome(outcome));
+    }
+
     /// Retries requests that had no answer, and fails those past their deadline.
     pub(super) fn tick_admin(&mut self, now: Time) {
         let retries = std::mem::take(&mut self.admin_retries);
@@ -86,6 +173,14 @@
         answer: Result<Result<AdminAnswer, ProposalError>, PeerError>,
     ) {
         match answer {
+            Ok(Ok(AdminAnswer::Tables(it)))
+                if !matches!(call.request, OperatorRequest::Admin(_)) =>
+            {
+                match call.caller.is_waiting() {
+                    true => self.propose_change(now, call, deadline, it.version),
+                    false => drop_order(&call),
+                }
+            }
             Ok(Ok(it)) => {
                 (call.respond)(OperatorAnswer::Admin(it));
             }
@@ -103,25 +198,21 @@
         }
     }
 
-    /// Serves an operator's request if this instance leads. Reads wait until a majority has
-    /// confirmed that it does, so that a deposed leader answers none from outdated state.
-    pub(super) fn serve_admin(
-        &mut self,
-        now: Time,
-        admin: AdminRequest,
-        respond: impl FnOnce(&mut Self, Time, Result<AdminAnswer, ProposalError>) + 'static,
-    ) {
-        if admin.is_change() {
-            let answer = self.answer_admin(now, &admin);
-            return respond(self, now, answer);
-        }
+    /// Serves an operator's request if this instance leads. It waits until a majority has
+    /// confirmed that it does, so that a deposed leader answers none from outdated state,
+    /// and changes nothing for a caller that has given up by then.
+    pub(super) fn serve_admin(&mut self, now: Time, admin: AdminRequest, caller: AdminCaller) {
         let token = self.next_token();
         let Some(voter) = &mut self.voter else {
-            return respond(self, now, Err(ProposalError::NotLeader { leader: None }));
+            return caller.answer(self, now, Err(ProposalError::NotLeader { leader: None }));
         };
         let handle = move |core: &mut Self, now, confirmed: Result<(), ProposalError>| {
+            if admin.is_change() && !caller.is_waiting() {
+                log::warn!(request:? = admin; "[operators] a request whose caller gave up is dropped");
+                return;
+            }
             let answer = confirmed.and_then(|()| core.answer_admin(now, &admin));
-            respond(core, now, answer);
+            caller.answer(core, now, answer);
         };
         self.pending.insert(token, Pending::Read(Box::new(handle)));
         voter.read(now, token);
@@ -169,16 +260,18 @@
         }
     }
 
-    /// Sends an admin request to the leader, or answers it if this instance leads.
+    /// Sends an admin request, or the read that precedes a change, to the leader, or answers
+    /// it if this instance leads.
     fn ask_leader(&mut self, now: Time, call: Box<OperatorCall>, deadline: Time) {
-        let OperatorRequest::Admin(admin) = call.request.clone() else {
-            unreachable!("only admin requests are forwarded to the leader");
+        if call.request.is_order() && !call.caller.is_waiting() {
+            return drop_order(&call);
+        }
+        let admin = match &call.request {
+            OperatorRequest::Admin(it) => it.clone(),
+            _ => AdminRequest::Tables,
         };
         if self.leads() {
-            let respond = move |core: &mut Self, now, answer| {
-                core.on_admin_answer(now, call, deadline, Ok(answer));
-            };
-            self.serve_admin(now, admin, respond);
+            self.serve_admin(now, admin, AdminCaller::Own { call, deadline });
             return;
         }
         let Some(to) = self.leader_addr().filter(|_| self.identity.system.is_some()) else {
@@ -208,7 +301,12 @@
     }
 }
 
+fn drop_order(call: &OperatorCall) {
+    log::warn!(request:% = call.request; "[operators] a request whose caller gave up is dropped");
+}
+
 fn refuse(call: OperatorCall, detail: &str) {
+    log::info!(request:% = call.request, reason = detail; "[operators] request refused");
     let err = OperatorError { unknown: false, detail: detail.to_owned() };
     (call.respond)(OperatorAnswer::Failed(err));
 }
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -1,11 +1,12 @@
 //! Peers' calls, and their answers to calls of this instance.
 
 use {
-    super::{Core, core::Pending},
+    super::{Core, core::Pending, operators::AdminCaller},
     crate::peers::{PeerAnswer, PeerCall, PeerError, Responder},
     coord::{
         control::{Envelope, PeerRefusal, ProposalError, RenewError, Token, Voter},
         ids::Index,
+        tables::Command,
         time::Time,
     },
 };
@@ -48,35 +49,56 @@
                     }
                 }
             }
-            PeerCall::Propose(command) => {
-                let token = self.next_token();
-                let command = self.stamp(command);
-                match &mut self.voter {
-                    Some(voter) => {
-                        self.pending.insert(token, Pending::Peer(respond));
-                        voter.propose(now, token, command);
-                    }
-                    None => {
-                        let err = ProposalError::NotLeader { leader: None };
-                        let _ = respond.send(PeerAnswer::Propose(Err(err)));
-                    }
-                }
-            }
+            PeerCall::Propose(command) => match needs_waiting_caller(&command) {
+                true => self.propose_once_confirmed(now, command, respond),
+                false => self.propose_for_peer(now, command, respond),
+            },
             PeerCall::FindStream(query) => {
                 let unknown = || Err(ProposalError::NotLeader { leader: None });
                 let answer = self.voter.as_ref().map(|it| it.find_stream(now, &query));
                 let _ = respond.send(PeerAnswer::Stream(answer.unwrap_or_else(unknown)));
             }
-            PeerCall::Admin(admin) => {
-                let respond = |_: &mut Self, _, answer| {
-                    // The peer doesn't wait any more.
-                    let _ = respond.send(PeerAnswer::Admin(answer));
-                };
-                self.serve_admin(now, admin, respond);
+            PeerCall::Admin(admin) => self.serve_admin(now, admin, AdminCaller::Peer(respond)),
+        }
+    }
+
+    fn propose_for_peer(&mut self, now: Time, command: Command, respond: Responder) {
+        let token = self.next_token();
+        let command = self.stamp(command);
+        match &mut self.voter {
+            Some(voter) => {
+                self.pending.insert(token, Pending::Peer(respond));
+                voter.propose(now, token, command);
+            }
+            None => {
+                let err = ProposalError::NotLeader { leader: None };
+                let _ = respond.send(PeerAnswer::Propose(Err(err)));
             }
         }
     }
 
+    /// Proposes a peer's command if the peer still waits once a majority has confirmed that
+    /// this instance leads, and drops one that was under way for too long.
+    fn propose_once_confirmed(&mut self, now: Time, command: Command, respond: Responder) {
+        let token = self.next_token();
+        let Some(voter) = &mut self.voter else {
+            let err = ProposalError::NotLeader { leader: None };
+            let _ = respond.send(PeerAnswer::Propose(Err(err)));
+            return;
+        };
+        let handle = move |core: &mut Self, now, confirmed: Result<(), ProposalError>| {
+            if let Err(err) = confirmed {
+                let _ = respond.send(PeerAnswer::Propose(Err(err)));
+            } else if respond.is_closed() {
+                log::warn!("[operators] A change whose sender gave up is dropped.");
+            } else {
+                core.propose_for_peer(now, command, respond);
+            }
+        };
+        self.pending.insert(token, Pending::Read(Box::new(handle)));
+        voter.read(now, token);
+    }
+
     /// Handles a peer's answer to a call, or the failure of the call.
     pub(super) fn on_peer_answer(
         &mut self,
@@ -143,3 +165,9 @@
         }
     }
 }
+
+/// Whether a command may undo a later one if it comes late: a change that says neither on
+/// which version it is based, nor may be told from a new one by what it names.
+fn needs_waiting_caller(command: &Command) -> bool {
+    matches!(command, Command::Change(it) if it.base.is_none())
+}
--- a/crates/daemon/src/core/proposals.rs
+++ b/crates/daemon/src/core/proposals.rs
@@ -9,8 +9,8 @@
         peers::{PeerAnswer, PeerCall, PeerError},
     },
     coord::{
-        control::{ProposalError, Token},
-        ids::{ClaimKey, EndpointName, RequestId},
+        control::{Departure, ProposalError, Token},
+        ids::{ClaimKey, RequestId},
         tables::{Command, Outcome},
         time::{Millis, Time},
         wire::OperatorError,
@@ -28,13 +28,16 @@
     },
     /// The end of a claim; the router waits for no outcome.
     Settlement,
-    Operator(Box<OperatorCall>),
+    Operator {
+        call: Box<OperatorCall>,
+        deadline: Time,
+    },
     Join,
     /// An announcement that changes an endpoint's row.
     Announcement(CommitNotice),
     /// The row that marks an endpoint as leaving.
     Deregistration {
-        endpoint: EndpointName,
+        departure: Departure,
         committed: CommitNotice,
     },
     /// Records of streams.
@@ -66,6 +69,14 @@
     pub fn new(origin: Origin, command: Command, deadline: Time) -> Self {
         Self { origin, command, deadline, sent: false }
     }
+
+    /// Whether it is an operator's order whose caller has given up.
+    fn is_abandoned(&self) -> bool {
+        match &self.origin {
+            Origin::Operator { call, .. } => call.request.is_order() && !call.caller.is_waiting(),
+            _ => false,
+        }
+    }
 }
 
 impl Core {
@@ -147,7 +158,7 @@
     pub(super) fn tick_proposals(&mut self, now: Time) {
         let retries = std::mem::take(&mut self.retries);
         for (at, proposal) in retries {
-            if now >= proposal.deadline {
+            if now >= proposal.deadline || proposal.is_abandoned() {
                 self.give_up(now, proposal);
             } else if now >= at {
                 self.propose(now, proposal);
@@ -191,13 +202,13 @@
                     self.router.on_claim_result(now, request, key, result);
                 }
             }
-            Origin::Operator(call) => {
-                (call.respond)(OperatorAnswer::Outcome(outcome));
+            Origin::Operator { call, deadline } => {
+                self.on_operator_outcome(now, call, deadline, outcome);
             }
             Origin::Join => self.on_joined(&outcome),
             Origin::Announcement(committed) | Origin::Streams(committed) => notify(committed, true),
-            Origin::Deregistration { endpoint, committed } => match outcome {
-                Outcome::Stale => self.deregistrations.wait(now, endpoint, committed),
+            Origin::Deregistration { departure, committed } => match outcome {
+                Outcome::Stale => self.deregistrations.wait(now, departure, committed),
                 _ => notify(committed, true),
             },
             Origin::Settlement => {}
@@ -207,7 +218,7 @@
     fn give_up(&mut self, now: Time, proposal: Proposal) {
         match proposal.origin {
             Origin::Claim { request, .. } => self.router.on_claim_unanswered(now, request),
-            Origin::Operator(call) => {
+            Origin::Operator { call, .. } => {
                 let detail = match proposal.sent {
                     true => "the voters gave no answer; the change may have been accepted",
                     false => "the voters can't be reached; the change was not taken",
--- a/crates/daemon/src/endpoints/listener.rs
+++ b/crates/daemon/src/endpoints/listener.rs
@@ -12,7 +12,7 @@
 
 /// Serves announcements of endpoints on a listener.
 pub fn listen(listener: TcpListener, secret: Arc<str>, inbox: Inbox) {
-    let handle = move |request: &Parts, body: String| -> HttpReply {
+    let handle = move |request: &Parts, body: String, _| -> HttpReply {
         if !is_authorized(request, &secret) {
             return plain(401, "the secret is wrong or missing\n");
         }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -8,8 +8,8 @@
         peers::{PeerCall, PeerError, Responder},
     },
     coord::{
-        control::{CrashReport, Envelope, Token},
-        ids::{AttemptId, EndpointName, Index, PoolName, RequestId, SystemId},
+        control::{CrashReport, Departure, Envelope, Token},
+        ids::{AttemptId, Index, PoolName, RequestId, SystemId},
         router::{AttemptEvent, Submission},
         streams::{StreamGroup, StreamOrigin, StreamQuery},
         tables::SuspectKey,
@@ -49,7 +49,7 @@
     /// false without a lease or if the change can't be committed.
     Announce { announcement: Box<Announcement>, committed: Option<oneshot::Sender<bool>> },
     /// An endpoint is deregistered. `committed` is as for an announcement.
-    Deregister { endpoint: EndpointName, committed: Option<oneshot::Sender<bool>> },
+    Deregister { departure: Departure, committed: Option<oneshot::Sender<bool>> },
     /// An endpoint has crashed under a request, whose connection ended at `at`.
     EndpointCrashed { report: CrashReport, at: Instant },
     /// An endpoint of a pool has answered a request with these suspects, or with none.
--- a/crates/daemon/src/operators/http.rs
+++ b/crates/daemon/src/operators/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP server for the listeners of operators and endpoints.
 
 use {
+    super::{CallerWatch, WaitingCaller},
     crate::accept::accept,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{
@@ -38,8 +39,8 @@
     pub body: String,
 }
 
-/// Handles a request, given its head and body.
-pub type Handler = Box<dyn Fn(&Parts, String) -> HttpReply + Send + Sync>;
+/// Handles a request, given its head and body and a watch on its caller.
+pub type Handler = Box<dyn Fn(&Parts, String, CallerWatch) -> HttpReply + Send + Sync>;
 
 /// An HTTP service; `part` names its thread and prefixes its log lines.
 pub struct HttpService {
@@ -116,7 +117,10 @@
             return plain(503, "busy\n");
         };
         let own = self.clone();
-        let reply = spawn_blocking(move || (own.service.handle)(&head, body)).await;
+        // Dropped with this future if the connection ends.
+        let caller = WaitingCaller::default();
+        let watch = caller.watch();
+        let reply = spawn_blocking(move || (own.service.handle)(&head, body, watch)).await;
         reply.unwrap_or_else(|err| {
             log::error!(error:% = err; "[{}] a request's handler failed", self.service.part);
             plain(500, "the request could not be handled\n")
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -5,7 +5,10 @@
 mod server;
 
 pub use {
-    call::{OperatorAnswer, OperatorCall, OperatorRequest, OperatorResponder},
+    call::{
+        CallerWatch, OperatorAnswer, OperatorCall, OperatorRequest, OperatorResponder,
+        WaitingCaller,
+    },
     http::{HttpReply, HttpService, is_authorized},
     server::serve,
 };
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -1,7 +1,10 @@
 //! The routes of the operators' interface.
 
 use {
-    super::{HttpReply, HttpService, OperatorAnswer, OperatorCall, OperatorRequest, is_authorized},
+    super::{
+        CallerWatch, HttpReply, HttpService, OperatorAnswer, OperatorCall, OperatorRequest,
+        is_authorized,
+    },
     crate::{
         event::{Event, Inbox},
         peers::{AdminAnswer, AdminRequest},
@@ -26,7 +29,7 @@
 
 /// Serves operators' requests and the metrics page `/metrics` on a listener.
 pub fn serve(listener: TcpListener, secret: Arc<str>, inbox: Inbox, metrics: PrometheusHandle) {
-    let handle = move |head: &Parts, body: String| -> HttpReply {
+    let handle = move |head: &Parts, body: String, caller: CallerWatch| -> HttpReply {
         if !is_authorized(head, &secret) {
             return error_reply(401, false, "the secret is wrong or missing");
         }
@@ -34,7 +37,7 @@
             return HttpReply { status: 200, content_type: "text/plain", body: metrics.render() };
         }
         match parse_request(head, &body) {
-            Ok(request) => submit(&inbox, request),
+            Ok(request) => submit(&inbox, request, caller),
             Err(reply) => reply,
         }
     };
@@ -74,7 +77,7 @@
         .map_err(|err| error_reply(400, false, &format!("the body can't be understood: {err}")))
 }
 
-fn submit(inbox: &Inbox, request: OperatorRequest) -> HttpReply {
+fn submit(inbox: &Inbox, request: OperatorRequest, caller: CallerWatch) -> HttpReply {
     let (respond, answers) = sync_channel(1);
     let change = match &request {
         OperatorRequest::Change(it) => Some(it.id),
@@ -84,7 +87,7 @@
         // The receiver is gone if the wait has timed out.
         let _ = respond.send(answer);
     });
-    if !inbox.offer(Event::Operator(OperatorCall { request, respond })) {
+    if !inbox.offer(Event::Operator(OperatorCall { request, caller, respond })) {
         return error_reply(503, false, "too many events wait");
     }
     match answers.recv_timeout(ANSWER_TIMEOUT) {
