Send to cold endpoints by grants of the leader

Cause: the relay didn't know cold endpoints, and placement by the fewest requests in flight preferred them. Shares of cold slots bound the own interface alone, and what runs, not what comes a second.

The grants of coord::limits now hold for cold starts, by the rate of the catalog and the state in the replicated tables, for requests, calls of stages and freed results. What isn't granted goes elsewhere or is refused at once.

The test system of limits.rs moves to tests/limiting unchanged, to be shared.

--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -513,7 +513,7 @@
                 self.shares.revoke(&name, None);
             }
             self.shares.mark_changed();
-            self.limits.reload(&self.state.tables);
+            self.limits.reload(now, &self.state.tables);
             self.allocate(now);
             self.answer_renewals(now);
         }
@@ -571,6 +571,7 @@
         self.teams = TeamTable::default();
         self.lease_ends.clear();
         self.limits = LimitTable::start(self.raft.term(), now);
+        self.limits.reload(now, &self.state.tables);
         self.crashes = CrashEvidence::default();
         self.rotated_at = now;
         self.mixed = self.state.streams.mixed_pools(&self.state.tables);
--- a/crates/coord/src/limits/limit_gate.rs
+++ b/crates/coord/src/limits/limit_gate.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         ids::{EndpointName, Generation, Rate},
-        tables::Endpoint,
+        tables::Tables,
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
@@ -18,6 +18,11 @@
 /// what arrives in 4 s below one and a half times the limit.
 pub const GRANT_VALIDITY: Millis = Millis(1000);
 
+/// How long a grant for an endpoint in its cold start is valid. Together with the credit
+/// that the leader saves up, it keeps what arrives in one second below one and a half times
+/// the rate.
+pub const COLD_GRANT_VALIDITY: Millis = Millis(300);
+
 /// What an answer said of the limit, until the leader has taken it into account.
 #[derive(Debug, Clone, Copy)]
 struct Observation {
@@ -42,6 +47,8 @@
     seen: Option<Observation>,
     /// The limit in the leader's list, and when the endpoint named it.
     listed: Option<(Rate, Time)>,
+    /// The rate in a cold start, according to the tables.
+    cold: Option<Rate>,
     /// In the order in which they expire.
     grants: Vec<Grant>,
     /// Sends, and requests for a send without a grant, since the last renewal.
@@ -73,11 +80,23 @@
 }
 
 impl LimitGate {
-    /// Drops the limits and grants of incarnations earlier than these endpoints.
-    pub fn reload<'a>(&mut self, endpoints: impl Iterator<Item = &'a Endpoint>) {
+    /// Drops the limits and grants of incarnations earlier than those in the tables, and
+    /// takes in which endpoints are in a cold start.
+    pub fn reload(&mut self, tables: &Tables) {
+        let endpoints = tables.endpoints.values();
         self.generations = endpoints.map(|it| (it.name.clone(), it.generation)).collect();
         let generations = &self.generations;
         self.rows.retain(|name, row| generations.get(name).is_some_and(|it| row.generation >= *it));
+        for it in tables.endpoints.values() {
+            let cold = tables.cold_rate(it);
+            let known = self.rows.get(&it.name).map(|row| row.generation);
+            // A row of a later generation is of more recent tables.
+            let is_current = known.map_or(cold.is_some(), |known| known <= it.generation);
+            if is_current {
+                self.row(&it.name, it.generation).set_cold(cold);
+            }
+        }
+        self.rows.retain(|_, row| row.is_limited());
     }
 
     /// Takes in what an answer says. `sent` is when its request was sent: an answer
@@ -94,7 +113,7 @@
         if self.generations.get(name) != Some(&generation) {
             return None;
         }
-        let before = self.limit(name);
+        let before = self.named_limit(name);
         match notice {
             LimitNotice::Named(limit) => {
                 let row = self.row(name, generation);
@@ -116,21 +135,29 @@
             }
             LimitNotice::Absent | LimitNotice::Unreadable => {}
         }
-        let limit = self.limit(name);
+        let limit = self.named_limit(name);
         (limit != before).then_some(LimitChange { before, limit })
     }
 
-    /// Returns the limit of an endpoint, if it has one. One that this instance has read
-    /// to have ended counts until the leader's list is without it.
+    /// Returns the limit of an endpoint, if it names one or is in a cold start.
     pub fn limit(&self, name: &EndpointName) -> Option<Rate> {
-        let row = self.rows.get(name)?;
-        if self.generations.get(name) != Some(&row.generation) {
-            return None;
-        }
+        let cold = self.current_row(name).and_then(|it| it.cold);
+        self.named_limit(name).into_iter().chain(cold).min()
+    }
+
+    /// Returns the limit that an endpoint names, if it names one. One that this instance
+    /// has read to have ended counts until the leader's list is without it.
+    fn named_limit(&self, name: &EndpointName) -> Option<Rate> {
+        let row = self.current_row(name)?;
         let seen = row.seen.and_then(|it| it.limit);
         seen.or(row.listed.map(|(limit, _)| limit))
     }
 
+    fn current_row(&self, name: &EndpointName) -> Option<&Row> {
+        let row = self.rows.get(name)?;
+        (self.generations.get(name) == Some(&row.generation)).then_some(row)
+    }
+
     /// Whether a send to an endpoint is possible now.
     pub fn may_send(&self, now: Time, name: &EndpointName) -> bool {
         let granted = |row: &Row| row.grants.iter().any(|it| it.sends > 0 && it.expires > now);
@@ -208,7 +235,7 @@
         seq: u64,
         reply: LimitReply,
     ) -> Vec<(EndpointName, LimitChange)> {
-        let limit = |name: &EndpointName| self.limit(name);
+        let limit = |name: &EndpointName| self.named_limit(name);
         let before: IndexMap<EndpointName, Option<Rate>> =
             self.rows.keys().map(|it| (it.clone(), limit(it))).collect();
         let accounted = match reply.list {
@@ -226,15 +253,14 @@
                 row.seen = row.seen.filter(|it| it.reported == 0 || it.reported > seq);
             }
         }
-        let expires = asked + reply.held + GRANT_VALIDITY;
-        if expires > now {
-            reply.sends.iter().for_each(|it| self.add_grant(it, expires));
+        for it in &reply.sends {
+            self.add_grant(now, it, asked + reply.held);
         }
-        self.rows.retain(|_, row| row.seen.is_some() || row.listed.is_some());
+        self.rows.retain(|_, row| row.is_limited());
         let names: IndexSet<&EndpointName> = before.keys().chain(self.rows.keys()).collect();
         let change = |name: &EndpointName| LimitChange {
             before: before.get(name).copied().flatten(),
-            limit: self.limit(name),
+            limit: self.named_limit(name),
         };
         let changes = names.into_iter().map(|it| (it.clone(), change(it)));
         changes.filter(|(_, it)| it.before != it.limit).collect()
@@ -250,10 +276,16 @@
         }
     }
 
-    fn add_grant(&mut self, grant: &SendGrant, expires: Time) {
+    /// Adds a grant that was made no earlier than at `made`.
+    fn add_grant(&mut self, now: Time, grant: &SendGrant, made: Time) {
         let limit = self.limit(&grant.endpoint).unwrap_or(grant.limit);
         let row = self.rows.get_mut(&grant.endpoint);
         if let Some(row) = row.filter(|it| it.generation == grant.generation) {
+            let validity = if row.cold.is_some() { COLD_GRANT_VALIDITY } else { GRANT_VALIDITY };
+            let expires = made + validity;
+            if expires <= now {
+                return;
+            }
             row.grants.push(Grant { sends: grant.sends, limit: grant.limit, expires });
             row.grants.sort_by_key(|it| it.expires);
             row.lower_grants(limit);
@@ -271,6 +303,18 @@
 }
 
 impl Row {
+    fn is_limited(&self) -> bool {
+        self.seen.is_some() || self.listed.is_some() || self.cold.is_some()
+    }
+
+    /// Sets the rate in a cold start. Grants made before one began are too many for it.
+    fn set_cold(&mut self, cold: Option<Rate>) {
+        if self.cold.is_none() && cold.is_some() {
+            self.grants.clear();
+        }
+        self.cold = cold;
+    }
+
     /// When the endpoint last named a limit.
     fn named_at(&self) -> Option<Time> {
         let seen = self.seen.filter(|it| it.limit.is_some()).map(|it| it.at);
--- a/crates/coord/src/limits/limit_table.rs
+++ b/crates/coord/src/limits/limit_table.rs
@@ -21,6 +21,8 @@
 /// For how long credit is saved up while no instance can be granted sends, at least for
 /// one send.
 pub const CREDIT_TIME: Millis = Millis(400);
+/// The same for an endpoint in a cold start.
+const COLD_CREDIT_TIME: Millis = GRANT_INTERVAL;
 /// The rate at which an endpoint with a lower limit is sent to all the same: only its
 /// answers can tell that the limit has ended.
 pub const MIN_LIMIT: Rate = Rate(100);
@@ -53,6 +55,8 @@
     limit: Option<Rate>,
     /// When the endpoint said so.
     at: Time,
+    /// The rate in a cold start, according to the tables.
+    cold: Option<Rate>,
     credit: u64,
     filled_at: Time,
     turns: IndexMap<ShareHolder, Turn>,
@@ -114,14 +118,8 @@
             return;
         }
         let at = Time(now.0.saturating_sub(report.age.0));
-        let row = self.rows.entry(report.endpoint.clone()).or_insert_with(|| Row {
-            generation: report.generation,
-            limit: None,
-            at: Time(0),
-            credit: 0,
-            filled_at: now,
-            turns: IndexMap::new(),
-        });
+        let row = self.rows.entry(report.endpoint.clone());
+        let row = row.or_insert_with(|| Row::new(report.generation, now));
         if at < row.at {
             return;
         }
@@ -142,13 +140,25 @@
         }
     }
 
-    /// Drops the limits of incarnations that are no longer in the tables.
-    pub fn reload(&mut self, tables: &Tables) {
+    /// Drops the limits of incarnations that are no longer in the tables, and takes in which
+    /// endpoints are in a cold start.
+    pub fn reload(&mut self, now: Time, tables: &Tables) {
         let count = self.rows.len();
         self.rows.retain(|name, row| {
             tables.endpoints.get(name).is_some_and(|it| it.generation == row.generation)
         });
         self.number += u64::from(self.rows.len() < count);
+        for it in tables.endpoints.values() {
+            let cold = tables.cold_rate(it);
+            if cold.is_some() {
+                let row = self.rows.entry(it.name.clone());
+                row.or_insert_with(|| Row::new(it.generation, now));
+            }
+            if let Some(row) = self.rows.get_mut(&it.name).filter(|row| row.cold != cold) {
+                row.refill(now);
+                row.cold = cold;
+            }
+        }
     }
 
     /// Returns all limits.
@@ -173,7 +183,7 @@
         self.granted_at = now;
         for (name, row) in &mut self.rows {
             row.refill(now);
-            let Some(limit) = row.limit else {
+            let Some(limit) = row.rate() else {
                 continue;
             };
             row.turns.values_mut().for_each(|it| it.demand *= DEMAND_DECAY);
@@ -223,14 +233,34 @@
 }
 
 impl Row {
+    fn new(generation: Generation, now: Time) -> Self {
+        Self {
+            generation,
+            limit: None,
+            at: Time(0),
+            cold: None,
+            credit: 0,
+            filled_at: now,
+            turns: IndexMap::new(),
+        }
+    }
+
+    /// The rate at which sends are granted, if they have to be.
+    fn rate(&self) -> Option<Rate> {
+        let named = self.limit.map(|it| it.max(MIN_LIMIT));
+        named.into_iter().chain(self.cold).min()
+    }
+
     /// Adds the credit of the time since the last call.
     fn refill(&mut self, now: Time) {
-        let rate = self.limit.map_or(Rate(0), |it| it.max(MIN_LIMIT));
-        let most = (rate.0 * CREDIT_TIME.0).max(SEND_CREDIT);
-        let added = rate.0 * now.since(self.filled_at).0;
+        let time = if self.cold.is_some() { COLD_CREDIT_TIME } else { CREDIT_TIME };
+        let added_for = now.since(self.filled_at).0;
         self.filled_at = now;
-        self.credit = match self.limit {
-            Some(_) => (self.credit + added).min(most),
+        self.credit = match self.rate() {
+            Some(rate) => {
+                let most = (rate.0 * time.0).max(SEND_CREDIT);
+                (self.credit + rate.0 * added_for).min(most)
+            }
             None => 0,
         };
     }
--- a/crates/coord/src/limits/mod.rs
+++ b/crates/coord/src/limits/mod.rs
@@ -1,5 +1,5 @@
-//! Limits that endpoints name in their answers: how many requests a second they take
-//! from all instances together.
+//! Limits on how many requests a second endpoints take from all instances together: those
+//! that they name in their answers, and those of a cold start, which are in the tables.
 //!
 //! Instances report what they read to the leader. The leader tells all of them which
 //! endpoints are limited and grants single sends, each for a short time. An instance
@@ -13,7 +13,7 @@
 mod shared_gate;
 
 pub use {
-    limit_gate::{GRANT_VALIDITY, LimitChange, LimitGate, SendPermit},
+    limit_gate::{COLD_GRANT_VALIDITY, GRANT_VALIDITY, LimitChange, LimitGate, SendPermit},
     limit_notice::{LimitNotice, MAX_LIMIT, parse_limit},
     limit_table::{CREDIT_TIME, GRANT_INTERVAL, LimitTable, MIN_LIMIT},
     message::{
--- a/crates/coord/src/router/picker.rs
+++ b/crates/coord/src/router/picker.rs
@@ -127,7 +127,7 @@
             row.reload(endpoint, tables);
         }
         self.notices.reload(tables.endpoints.values());
-        self.gate.lock().reload(tables.endpoints.values());
+        self.gate.lock().reload(tables);
     }
 
     /// Records what an endpoint says of itself in an answer of this incarnation.
--- a/crates/coord/src/tables/tables.rs
+++ b/crates/coord/src/tables/tables.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         catalog::{Catalog, CatalogDelta, CatalogDeltaError},
-        ids::{DomainName, EndpointName, NodeId, PoolName, RouteName, Version},
+        ids::{DomainName, EndpointName, NodeId, PoolName, Rate, RouteName, Version},
         packed::Packed,
     },
     indexmap::{IndexMap, IndexSet},
@@ -125,6 +125,14 @@
             && !self.out_endpoints.contains(&endpoint.name)
     }
 
+    /// Returns the rate of requests that an endpoint takes in its cold start from all
+    /// instances together; `None` if it isn't in one, or its service names no rate.
+    pub fn cold_rate(&self, endpoint: &Endpoint) -> Option<Rate> {
+        let service = self.catalog.services.get(&endpoint.pool)?;
+        let rate = service.cold_start.rate;
+        (endpoint.state == EndpointState::Cold && rate > Rate(0)).then_some(rate)
+    }
+
     fn edit_one(&mut self, edit: &Edit) -> Result<(), EditError> {
         match edit {
             Edit::PutRoute(it) => {
--- a/crates/coord/tests/limits.rs
+++ b/crates/coord/tests/limits.rs
@@ -3,12 +3,13 @@
 
 use {
     coord::{
+        catalog::{Catalog, ColdBound, Service},
         control::ShareHolder,
         ids::{EndpointName, Generation, Incarnation, NodeId, Rate, Slots, Term},
         limits::{
-            CREDIT_TIME, EndpointLimit, GRANT_INTERVAL, GRANT_VALIDITY, LimitGate, LimitList,
-            LimitListUpdate, LimitNotice, LimitReply, LimitReport, LimitRequest, LimitTable,
-            MAX_LIMIT, SendGrant, parse_limit,
+            COLD_GRANT_VALIDITY, CREDIT_TIME, EndpointLimit, GRANT_INTERVAL, GRANT_VALIDITY,
+            LimitGate, LimitList, LimitListUpdate, LimitNotice, LimitReply, LimitReport,
+            LimitRequest, LimitTable, MAX_LIMIT, SendGrant, parse_limit,
         },
         relay::{AttemptOutcome, Attempts, NextAction},
         tables::{Endpoint, EndpointState, Tables},
@@ -25,6 +26,8 @@
 /// A window, and what may arrive in it beside one and a half times what the limit allows.
 const WINDOW: Millis = Millis(4000);
 const SLACK: u64 = 5;
+/// The same for an endpoint in a cold start.
+const COLD_WINDOW: Millis = Millis(1000);
 /// How long after an endpoint first names a limit it is to be kept.
 const CONTACT: Millis = Millis(3000);
 /// How long an instance that was told may take to hold to what it was told.
@@ -55,9 +58,25 @@
     tables
 }
 
+/// The tables while the endpoint is in a cold start.
+fn cold_tables(generation: u64, rate: Rate) -> Tables {
+    let mut tables = tables(generation);
+    tables.endpoints[&name()].state = EndpointState::Cold;
+    let service = Service {
+        health_path: "/".to_owned(),
+        max_connections: 100,
+        cold_start: ColdBound { duration: Millis(3000), rate },
+        engine: None,
+        batch: None,
+    };
+    let services = [("p".parse().expect("a name"), service)].into_iter().collect();
+    tables.catalog = Catalog { services, ..Catalog::default() }.into();
+    tables
+}
+
 fn gate(generation: u64) -> LimitGate {
     let mut gate = LimitGate::default();
-    gate.reload(std::iter::once(&endpoint(generation)));
+    gate.reload(&tables(generation));
     gate
 }
 
@@ -214,7 +233,7 @@
 
     assert_eq!((change, gate.limit(&name())), (None, None));
     gate.note(START, START, &name(), Generation(2), named(0));
-    gate.reload(std::iter::once(&endpoint(3)));
+    gate.reload(&tables(3));
     assert_eq!(gate.limit(&name()), None);
 }
 
@@ -351,8 +370,9 @@
 }
 
 impl Instance {
-    fn new(incarnation: u64, generation: u64) -> Self {
-        let gate = gate(generation);
+    fn new(incarnation: u64, tables: &Tables) -> Self {
+        let mut gate = LimitGate::default();
+        gate.reload(tables);
         Self {
             gate,
             incarnation,
@@ -394,6 +414,8 @@
 /// A simulated pool of one endpoint, with instances and leaders.
 struct Pool {
     rng: StdRng,
+    /// The rate in a cold start, in which each incarnation then stays.
+    cold: Option<Rate>,
     now: Time,
     instances: Vec<Instance>,
     leader: Leader,
@@ -402,6 +424,8 @@
     flights: Vec<Flight<Message>>,
     /// Arrivals from instances that the endpoint had told, with the limit then.
     arrivals: Vec<(Time, u64)>,
+    /// When all that arrived was sent, and to which incarnation.
+    sent: Vec<(Time, u64)>,
     /// When the endpoint or its limit began anew.
     since: Time,
     /// The probability with which an instance sends in a step.
@@ -413,9 +437,10 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let count = if seed.is_multiple_of(10) { 82 } else { rng.random_range(2..=12) };
         let limit = [200, 1000, 1000, 2500, 20_000][rng.random_range(0..5)];
-        let instances = (0..count).map(|_| Instance::new(1, 1)).collect();
+        let instances = (0..count).map(|_| Instance::new(1, &tables(1))).collect();
         Self {
             rng,
+            cold: None,
             now: START,
             instances,
             leader: Leader::new(1, START),
@@ -423,11 +448,31 @@
             limit: Some(limit),
             flights: Vec::new(),
             arrivals: Vec::new(),
+            sent: Vec::new(),
             since: START,
             load: 0.4,
         }
     }
 
+    /// A pool whose endpoint names no limit and is in a cold start.
+    fn cold(seed: u64) -> Self {
+        let mut pool = Self::new(seed);
+        let rates = [500, 2000, 14_000, 100_000];
+        pool.cold = Some(Rate(rates[pool.rng.random_range(0..rates.len())]));
+        pool.limit = None;
+        let tables = pool.tables();
+        pool.instances.iter_mut().for_each(|it| it.gate.reload(&tables));
+        pool.leader.table.reload(START, &tables);
+        pool
+    }
+
+    fn tables(&self) -> Tables {
+        match self.cold {
+            Some(rate) => cold_tables(self.generation, rate),
+            None => tables(self.generation),
+        }
+    }
+
     fn later(&mut self) -> Time {
         let delay = self.rng.random_range(1..=MAX_DELAY_MS);
         self.now + Millis(delay)
@@ -463,24 +508,27 @@
         let at = self.rng.random_range(0..self.instances.len());
         match self.rng.random_range(0..9) {
             8 => self.instances.iter_mut().for_each(|it| it.cut = true),
-            0 => self.leader = Leader::new(self.leader.term + 1, self.now),
+            0 => {
+                self.leader = Leader::new(self.leader.term + 1, self.now);
+                let tables = self.tables();
+                self.leader.table.reload(self.now, &tables);
+            }
             1 | 2 => self.instances[at].cut ^= true,
             3 | 4 => {
                 let incarnation = self.instances[at].incarnation + 1;
-                self.instances[at] = Instance::new(incarnation, self.generation);
+                self.instances[at] = Instance::new(incarnation, &self.tables());
             }
             5 => {
                 self.generation += 1;
                 self.since = self.now;
-                let row = endpoint(self.generation);
+                let tables = self.tables();
                 self.instances.iter_mut().for_each(|it| {
-                    it.gate.reload(std::iter::once(&row));
+                    it.gate.reload(&tables);
                     it.told.clear();
                 });
-                let tables = tables(self.generation);
-                self.leader.table.reload(&tables);
+                self.leader.table.reload(self.now, &tables);
             }
-            6 => {
+            6 if self.cold.is_none() => {
                 let old = self.limit;
                 self.limit = [Some(200), Some(1000), Some(5000), None][self.rng.random_range(0..4)];
                 if old.is_none() {
@@ -583,7 +631,7 @@
                 if leader != self.leader.term || self.instances[from].incarnation != incarnation {
                     return;
                 }
-                let tables = tables(self.generation);
+                let tables = self.tables();
                 request.reports.iter().for_each(|it| self.leader.table.record(now, it, &tables));
                 self.leader.table.add_demand(holder(from as u64), &request.demand);
                 if whole {
@@ -608,6 +656,7 @@
                 if generation != self.generation {
                     return;
                 }
+                self.sent.push((sent, generation));
                 let it = &self.instances[from];
                 let settled = now >= self.since + CONTACT && it.incarnation == incarnation;
                 let told = it.told_limit(now).filter(|_| settled);
@@ -652,3 +701,64 @@
         }
     }
 }
+
+/// Guards against instances that each send to a cold endpoint what it takes from all.
+#[test]
+fn no_more_is_sent_in_a_second_of_a_cold_start_than_its_rate_allows_whatever_fails() {
+    let mut idle = 0;
+    for seed in 0..SEEDS {
+        let mut pool = Pool::cold(seed);
+        let rate = pool.cold.expect("a cold start");
+        let load = if pool.instances.len() > 20 { 0.05 } else { 0.4 };
+
+        let time = if pool.instances.len() > 20 { Millis(6000) } else { Millis(20_000) };
+        pool.run(time, load);
+
+        pool.sent.sort();
+        let bound = rate.0 * COLD_WINDOW.0 * 3 / 2 / 1_000_000 + SLACK;
+        for (at, (first, generation)) in pool.sent.iter().enumerate() {
+            let window = pool.sent[at..].iter().take_while(|it| it.0 < *first + COLD_WINDOW);
+            let count = window.filter(|it| it.1 == *generation).count() as u64;
+            assert!(count <= bound, "seed {seed}: {count} from {first:?} on, allowed {bound}");
+        }
+        idle += u64::from(pool.sent.is_empty());
+    }
+    assert!(idle < SEEDS / 20, "nothing was sent in {idle} runs");
+}
+
+#[test]
+fn a_cold_start_limits_before_anything_is_granted_and_ends_with_it() {
+    let mut gate = gate(1);
+    assert!(gate.take(START, &name()).is_some());
+
+    gate.reload(&cold_tables(1, Rate(14_000)));
+    assert_eq!(gate.limit(&name()), Some(Rate(14_000)));
+    assert!(gate.take(START, &name()).is_none(), "nothing is granted yet");
+    gate.note(START, START, &name(), Generation(1), named(2000));
+    assert_eq!(gate.limit(&name()), Some(Rate(2000)), "the lower one counts");
+    gate.note(START, START + Millis(1), &name(), Generation(1), LimitNotice::Absent);
+
+    gate.reload(&cold_tables(2, Rate(14_000)));
+    assert_eq!(gate.limit(&name()), Some(Rate(14_000)), "the next start is cold too");
+    gate.reload(&tables(2));
+    assert!(gate.take(START, &name()).is_some());
+}
+
+#[test]
+fn grants_for_a_cold_start_are_valid_for_a_short_time() {
+    let mut table = ready_table();
+    let tables = cold_tables(1, Rate(14_000));
+    table.reload(START, &tables);
+    let mut gate = gate(1);
+    gate.reload(&tables);
+    let now = START + GRANT_INTERVAL;
+
+    table.grant(now, &[holder(1)].into_iter().collect());
+    let sends = table.take_grants(holder(1));
+    assert_eq!(sends.iter().map(|it| it.sends).sum::<u32>(), 2, "of 14 a second");
+    let reply = LimitReply { list: LimitListUpdate::Unknown, sends, held: Millis(0) };
+    gate.apply(now, now, 1, reply);
+
+    assert!(gate.take(now, &name()).is_some());
+    assert!(gate.take(now + COLD_GRANT_VALIDITY, &name()).is_none());
+}
--- a/crates/daemon/src/relay/notices.rs
+++ b/crates/daemon/src/relay/notices.rs
@@ -83,7 +83,7 @@
     /// Drops the notices of incarnations that are no longer in the tables.
     pub fn reload(&self, tables: &Tables) {
         self.table.borrow_mut().reload(tables.endpoints.values());
-        self.gate.lock().reload(tables.endpoints.values());
+        self.gate.lock().reload(tables);
     }
 
     /// Reads the head of an endpoint's answer to a request that was sent at `sent`.
--- a/crates/harness/tests/limits.rs
+++ b/crates/harness/tests/limits.rs
@@ -1,23 +1,17 @@
 //! Endpoints that name how many requests a second they take from all instances together,
 //! through several real instances.
 
+mod limiting;
+
 use {
     coord::{
-        catalog::{Catalog, RelayRoute, RelayStage, RetryPolicy},
+        catalog::{RelayRoute, RelayStage, RetryPolicy},
         ids::{Bytes, Generation},
-        tables::Endpoint,
-    },
-    harness::{
-        Cluster, ClusterSpec, Fault, LONG_TIMEOUT, RawResponse, announce, relay_catalog,
-        relay_endpoint, relay_request, relay_route, try_exchange, wait_until,
     },
+    harness::{Fault, relay_catalog, relay_route},
+    limiting::{ENDPOINTS, Outcome, System, endpoints, instance_count, run_beside},
     standin::LimitedEndpoint,
     std::{
-        net::SocketAddr,
-        sync::{
-            Mutex,
-            atomic::{AtomicBool, Ordering},
-        },
         thread,
         time::{Duration, Instant},
     },
@@ -25,131 +19,15 @@
 
 const SIGSTOP: i32 = 19;
 const SIGCONT: i32 = 18;
-const VOTERS: usize = 3;
-const INSTANCES: usize = 8;
-/// Sets another number of instances, for runs by hand.
-const INSTANCES_VARIABLE: &str = "MANGOBEND_LIMIT_INSTANCES";
-const ENDPOINTS: usize = 4;
 /// From this long after an endpoint first names its limit, no more arrive in any window of
 /// `WINDOW` than `FACTOR` times what the limit allows and `SLACK`.
 const CONTACT: Duration = Duration::from_secs(3);
 const WINDOW: Duration = Duration::from_secs(4);
 const FACTOR: f64 = 1.5;
 const SLACK: f64 = 5.0;
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
-/// The time between two requests of all callers together.
-const SEND_INTERVAL: Duration = Duration::from_millis(15);
 /// A refusal that comes sooner was not waited for.
 const AT_ONCE: Duration = Duration::from_millis(400);
 
-struct System {
-    cluster: Cluster,
-    relays: Vec<SocketAddr>,
-    /// Where endpoints announce themselves.
-    listeners: Vec<SocketAddr>,
-    endpoints: Vec<(Endpoint, LimitedEndpoint)>,
-}
-
-/// A response to a caller, when it was sent, and how long it took.
-struct Outcome {
-    sent: Instant,
-    took: Duration,
-    response: RawResponse,
-}
-
-fn instance_count() -> usize {
-    let set = std::env::var(INSTANCES_VARIABLE).ok();
-    set.map_or(INSTANCES, |it| it.parse().expect("a number of instances"))
-}
-
-/// Returns endpoints of a pool that are running.
-fn endpoints(pool: &str, count: usize) -> Vec<(Endpoint, LimitedEndpoint)> {
-    let start = |number: usize| {
-        let it = LimitedEndpoint::start(Duration::from_millis(20));
-        (relay_endpoint(&format!("{pool}{number}"), pool, it.addr), it)
-    };
-    (0..count).map(start).collect()
-}
-
-impl System {
-    fn start(catalog: &Catalog, endpoints: Vec<(Endpoint, LimitedEndpoint)>) -> Self {
-        let spec = ClusterSpec {
-            args: ["--relay-listen", "127.0.0.1:0"].map(ToOwned::to_owned).to_vec(),
-            ..ClusterSpec::new(VOTERS, instance_count() - VOTERS)
-        };
-        let cluster = spec.start();
-        let posted = cluster.operator().post::<serde_json::Value>("/v1/catalog", catalog);
-        posted.expect("the catalog is accepted");
-        let relays = cluster.daemons().map(|it| it.relay_addr()).collect();
-        let listeners = cluster.announce_addrs();
-        let system = Self { cluster, relays, listeners, endpoints };
-        system.announce();
-        wait_until("each instance serves", LONG_TIMEOUT, || {
-            let call = |it| try_exchange(it, &relay_request("warm", "", ""));
-            system.relays.iter().all(|it| call(*it).is_some_and(|it| it.status == 200))
-        });
-        system
-    }
-
-    /// Starts a system with one route to a pool, without stages.
-    fn plain(retry: RetryPolicy) -> Self {
-        Self::start(&relay_catalog(relay_route(retry)), endpoints("app", ENDPOINTS))
-    }
-
-    fn announce(&self) {
-        announce_all(&self.endpoints, &self.listeners);
-    }
-
-    fn set_limits(&self, limit: Option<&str>) {
-        self.endpoints.iter().for_each(|(_, it)| it.set_limit(limit));
-    }
-}
-
-/// Announces each endpoint at the first instance that accepts it.
-fn announce_all(endpoints: &[(Endpoint, LimitedEndpoint)], listeners: &[SocketAddr]) {
-    for (number, (endpoint, _)) in endpoints.iter().enumerate() {
-        let mut order = listeners.iter().cycle().skip(number).take(listeners.len());
-        order.any(|it| announce(*it, endpoint));
-    }
-}
-
-/// Sends requests through all instances in turn while `act` runs; returns the responses.
-/// `act` may stop and start instances.
-fn run_beside(system: &mut System, act: impl FnOnce(&mut Cluster)) -> Vec<Outcome> {
-    let stop = AtomicBool::new(false);
-    let outcomes = Mutex::new(Vec::new());
-    let System { cluster, relays, listeners, endpoints } = system;
-    thread::scope(|scope| {
-        scope.spawn(|| {
-            while !stop.load(Ordering::Relaxed) {
-                announce_all(endpoints, listeners);
-                thread::sleep(ANNOUNCE_INTERVAL);
-            }
-        });
-        scope.spawn(|| {
-            for number in 0.. {
-                if stop.load(Ordering::Relaxed) {
-                    break;
-                }
-                let (addr, outcomes) = (relays[number % relays.len()], &outcomes);
-                scope.spawn(move || {
-                    let sent = Instant::now();
-                    let response =
-                        try_exchange(addr, &relay_request(&format!("r{number}"), "", ""));
-                    if let Some(response) = response {
-                        let it = Outcome { sent, took: sent.elapsed(), response };
-                        outcomes.lock().expect("lock poisoned").push(it);
-                    }
-                });
-                thread::sleep(SEND_INTERVAL);
-            }
-        });
-        act(cluster);
-        stop.store(true, Ordering::Relaxed);
-    });
-    outcomes.into_inner().expect("lock poisoned")
-}
-
 /// The most arrivals in a window that begins at `from` or later.
 fn most_in_window(endpoint: &LimitedEndpoint, from: Instant, until: Instant) -> usize {
     let arrivals = endpoint.arrivals();
