Take endpoints for cold after a refused connection

An instance that was refused a connection now takes that start of the endpoint to be in doubt, reports it, and all instances send to it by grants at the cold rate until a later start is announced or this one is heard of 2 s later. It counts only if some endpoint answers within a second, as an instance that is cut off is refused by all.

--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -54,6 +54,9 @@
             for it in &limits.reports {
                 self.limits.record(now, it, &self.state.tables);
             }
+            for it in &limits.doubts {
+                self.limits.record_doubt(now, it, &self.state.tables);
+            }
             self.limits.add_demand(holder, &limits.demand);
         }
         self.cut.record(request.node, request.cut);
@@ -68,6 +71,7 @@
         }
         for it in &request.reports {
             self.endpoints.record_report(it, now);
+            self.limits.record_announcement(now, &it.endpoint, it.generation);
         }
         for (name, generation) in &request.healthy {
             self.endpoints.record_success(name, *generation);
--- a/crates/coord/src/limits/limit_gate.rs
+++ b/crates/coord/src/limits/limit_gate.rs
@@ -3,12 +3,12 @@
 
 use {
     super::{
-        LimitDemand, LimitList, LimitListUpdate, LimitNotice, LimitReply, LimitReport,
-        LimitRequest, SendGrant,
+        EndpointDoubt, LimitDemand, LimitList, LimitListUpdate, LimitNotice, LimitReply,
+        LimitReport, LimitRequest, SendGrant,
     },
     crate::{
         ids::{EndpointName, Generation, Rate},
-        tables::Tables,
+        tables::{Endpoint, Tables},
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
@@ -33,6 +33,14 @@
     reported: u64,
 }
 
+/// A refused connection to an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Doubt {
+    at: Time,
+    /// The first renewal that reported it; 0 before.
+    reported: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Grant {
     sends: u32,
@@ -49,6 +57,10 @@
     listed: Option<(Rate, Time)>,
     /// The rate in a cold start, according to the tables.
     cold: Option<Rate>,
+    /// Since when this start is in doubt, until the leader has taken that into account.
+    doubt: Option<Doubt>,
+    /// Since when it is in doubt in the leader's list.
+    listed_doubt: Option<Time>,
     /// In the order in which they expire.
     grants: Vec<Grant>,
     /// Sends, and requests for a send without a grant, since the last renewal.
@@ -75,6 +87,8 @@
     rows: IndexMap<EndpointName, Row>,
     /// The incarnations in the tables.
     generations: IndexMap<EndpointName, Generation>,
+    /// The rates of cold starts in the pools of the endpoints.
+    cold_rates: IndexMap<EndpointName, Rate>,
     /// The number of the leader's list that is held.
     list: u64,
 }
@@ -85,6 +99,8 @@
     pub fn reload(&mut self, tables: &Tables) {
         let endpoints = tables.endpoints.values();
         self.generations = endpoints.map(|it| (it.name.clone(), it.generation)).collect();
+        let rate = |it: &Endpoint| Some((it.name.clone(), tables.pool_cold_rate(&it.pool)?));
+        self.cold_rates = tables.endpoints.values().filter_map(rate).collect();
         let generations = &self.generations;
         self.rows.retain(|name, row| generations.get(name).is_some_and(|it| row.generation >= *it));
         for it in tables.endpoints.values() {
@@ -139,10 +155,28 @@
         (limit != before).then_some(LimitChange { before, limit })
     }
 
-    /// Returns the limit of an endpoint, if it names one or is in a cold start.
+    /// Records that a connection to an endpoint was refused: until a later start of it is
+    /// known, or the leader hears of this one, it counts as cold. Returns whether that is
+    /// new.
+    pub fn doubt(&mut self, now: Time, name: &EndpointName, generation: Generation) -> bool {
+        let is_current = self.generations.get(name) == Some(&generation);
+        if !is_current || !self.cold_rates.contains_key(name) {
+            return false;
+        }
+        let row = self.row(name, generation);
+        if row.is_doubted() {
+            return false;
+        }
+        row.doubt = Some(Doubt { at: now, reported: 0 });
+        row.grants.clear();
+        true
+    }
+
+    /// Returns the limit of an endpoint, if it names one, is in a cold start or in doubt.
     pub fn limit(&self, name: &EndpointName) -> Option<Rate> {
-        let cold = self.current_row(name).and_then(|it| it.cold);
-        self.named_limit(name).into_iter().chain(cold).min()
+        let row = self.current_row(name)?;
+        let doubted = self.cold_rates.get(name).copied().filter(|_| row.is_doubted());
+        self.named_limit(name).into_iter().chain(row.cold).chain(doubted).min()
     }
 
     /// Returns the limit that an endpoint names, if it names one. One that this instance
@@ -197,7 +231,11 @@
 
     /// Whether an answer has said something that no renewal has reported.
     pub fn has_news(&self) -> bool {
-        self.rows.values().any(|it| it.seen.is_some_and(|seen| seen.reported == 0))
+        let is_news = |it: &Row| {
+            it.seen.is_some_and(|it| it.reported == 0)
+                || it.doubt.is_some_and(|it| it.reported == 0)
+        };
+        self.rows.values().any(is_news)
     }
 
     /// Returns the part of a renewal about limits. `seq` is the renewal's number, and
@@ -218,6 +256,14 @@
                 let age = now.since(at);
                 request.reports.push(LimitReport { endpoint, generation, limit, age });
             }
+            if let Some(doubt) = row.doubt.as_mut().filter(|it| it.reported == 0) {
+                doubt.reported = seq;
+            }
+            let listed = row.listed_doubt.filter(|_| whole);
+            if let Some(at) = row.doubt.map(|it| it.at).or(listed) {
+                let (endpoint, generation) = (name.clone(), row.generation);
+                request.doubts.push(EndpointDoubt { endpoint, generation, age: now.since(at) });
+            }
             let sends = std::mem::take(&mut row.wanted);
             if sends > 0 {
                 request.demand.push(LimitDemand { endpoint: name.clone(), sends });
@@ -251,6 +297,7 @@
         if accounted {
             for row in self.rows.values_mut() {
                 row.seen = row.seen.filter(|it| it.reported == 0 || it.reported > seq);
+                row.doubt = row.doubt.filter(|it| it.reported == 0 || it.reported > seq);
             }
         }
         for it in &reply.sends {
@@ -268,12 +315,18 @@
 
     fn set_list(&mut self, now: Time, list: LimitList) {
         self.list = list.number;
-        self.rows.values_mut().for_each(|it| it.listed = None);
+        self.rows.values_mut().for_each(|it| (it.listed, it.listed_doubt) = (None, None));
         for it in list.limits {
             let row = self.row(&it.endpoint, it.generation);
             row.listed = Some((it.limit, Time(now.0.saturating_sub(it.age.0))));
             row.lower_grants(it.limit);
         }
+        for it in list.doubts {
+            let row = self.row(&it.endpoint, it.generation);
+            if row.generation == it.generation {
+                row.listed_doubt = Some(Time(now.0.saturating_sub(it.age.0)));
+            }
+        }
     }
 
     /// Adds a grant that was made no earlier than at `made`.
@@ -281,7 +334,8 @@
         let limit = self.limit(&grant.endpoint).unwrap_or(grant.limit);
         let row = self.rows.get_mut(&grant.endpoint);
         if let Some(row) = row.filter(|it| it.generation == grant.generation) {
-            let validity = if row.cold.is_some() { COLD_GRANT_VALIDITY } else { GRANT_VALIDITY };
+            let is_cold = row.cold.is_some() || row.is_doubted();
+            let validity = if is_cold { COLD_GRANT_VALIDITY } else { GRANT_VALIDITY };
             let expires = made + validity;
             if expires <= now {
                 return;
@@ -304,7 +358,11 @@
 
 impl Row {
     fn is_limited(&self) -> bool {
-        self.seen.is_some() || self.listed.is_some() || self.cold.is_some()
+        self.seen.is_some() || self.listed.is_some() || self.cold.is_some() || self.is_doubted()
+    }
+
+    fn is_doubted(&self) -> bool {
+        self.doubt.is_some() || self.listed_doubt.is_some()
     }
 
     /// Sets the rate in a cold start. Grants made before one began are too many for it.
--- a/crates/coord/src/limits/limit_table.rs
+++ b/crates/coord/src/limits/limit_table.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        EndpointLimit, GRANT_VALIDITY, LimitDemand, LimitList, LimitListUpdate, LimitReport,
-        SendGrant,
+        EndpointDoubt, EndpointLimit, GRANT_VALIDITY, LimitDemand, LimitList, LimitListUpdate,
+        LimitReport, SendGrant,
     },
     crate::{
         control::{LEASE_DURATION, LEASE_MARGIN, ShareHolder},
@@ -27,6 +27,10 @@
 /// answers can tell that the limit has ended.
 pub const MIN_LIMIT: Rate = Rate(100);
 
+/// How much later than a refused connection an endpoint must have been heard of to show that
+/// this start of it still runs: announcements may be under way for as long.
+pub const ANNOUNCEMENT_DELAY: Millis = Millis(2000);
+
 /// How much longer a new leader assumes the grants of an earlier one to be valid, to allow
 /// for clock drift.
 const GRANT_MARGIN: Millis = Millis(100);
@@ -57,6 +61,8 @@
     at: Time,
     /// The rate in a cold start, according to the tables.
     cold: Option<Rate>,
+    /// When a connection to it was refused, and its rate in a cold start.
+    doubt: Option<(Time, Rate)>,
     credit: u64,
     filled_at: Time,
     turns: IndexMap<ShareHolder, Turn>,
@@ -131,6 +137,37 @@
         }
     }
 
+    /// Takes in that a connection to an endpoint was refused.
+    pub fn record_doubt(&mut self, now: Time, doubt: &EndpointDoubt, tables: &Tables) {
+        let endpoint = tables.endpoints.get(&doubt.endpoint);
+        let endpoint = endpoint.filter(|it| it.generation == doubt.generation);
+        let Some(rate) = endpoint.and_then(|it| tables.pool_cold_rate(&it.pool)) else {
+            return;
+        };
+        let at = Time(now.0.saturating_sub(doubt.age.0));
+        let row = self.rows.entry(doubt.endpoint.clone());
+        let row = row.or_insert_with(|| Row::new(doubt.generation, now));
+        let known = row.doubt.map(|it| it.0);
+        if known.is_none() {
+            row.refill(now);
+            self.number += 1;
+        }
+        row.doubt = Some((known.map_or(at, |it| it.max(at)), rate));
+    }
+
+    /// Takes in that a start of an endpoint was heard of, which may end a doubt.
+    pub fn record_announcement(&mut self, now: Time, name: &EndpointName, generation: Generation) {
+        let row = self.rows.get_mut(name).filter(|it| it.generation == generation);
+        let Some(row) = row else {
+            return;
+        };
+        if row.doubt.is_some_and(|(at, _)| now.since(at) >= ANNOUNCEMENT_DELAY) {
+            row.refill(now);
+            row.doubt = None;
+            self.number += 1;
+        }
+    }
+
     /// Adds to the demand of an instance.
     pub fn add_demand(&mut self, holder: ShareHolder, demand: &[LimitDemand]) {
         for it in demand {
@@ -170,7 +207,11 @@
             limit,
             age: now.since(row.at),
         });
-        LimitList { number: self.number, limits: limits.collect() }
+        let doubts = self.rows.iter().filter_map(|(name, row)| {
+            let age = now.since(row.doubt?.0);
+            Some(EndpointDoubt { endpoint: name.clone(), generation: row.generation, age })
+        });
+        LimitList { number: self.number, limits: limits.collect(), doubts: doubts.collect() }
     }
 
     /// Divides the sends that the limits allow by now among instances that can be
@@ -239,6 +280,7 @@
             limit: None,
             at: Time(0),
             cold: None,
+            doubt: None,
             credit: 0,
             filled_at: now,
             turns: IndexMap::new(),
@@ -248,12 +290,13 @@
     /// The rate at which sends are granted, if they have to be.
     fn rate(&self) -> Option<Rate> {
         let named = self.limit.map(|it| it.max(MIN_LIMIT));
-        named.into_iter().chain(self.cold).min()
+        named.into_iter().chain(self.cold).chain(self.doubt.map(|it| it.1)).min()
     }
 
     /// Adds the credit of the time since the last call.
     fn refill(&mut self, now: Time) {
-        let time = if self.cold.is_some() { COLD_CREDIT_TIME } else { CREDIT_TIME };
+        let is_cold = self.cold.is_some() || self.doubt.is_some();
+        let time = if is_cold { COLD_CREDIT_TIME } else { CREDIT_TIME };
         let added_for = now.since(self.filled_at).0;
         self.filled_at = now;
         self.credit = match self.rate() {
--- a/crates/coord/src/limits/message.rs
+++ b/crates/coord/src/limits/message.rs
@@ -19,6 +19,16 @@
     pub age: Millis,
 }
 
+/// A start of an endpoint that may have ended without a word, as a connection to it was
+/// refused. The next one may answer at the same address and under the same name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointDoubt {
+    pub endpoint: EndpointName,
+    pub generation: Generation,
+    /// How long before the message was sent that was.
+    pub age: Millis,
+}
+
 /// How often an instance has sent to a limited endpoint since the last renewal, or
 /// would have with a grant.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +48,10 @@
     pub reports: Vec<LimitReport>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<LimitDemand>,
+    /// The starts in doubt that the leader may not know of yet, or all if the leader asked
+    /// for that.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub doubts: Vec<EndpointDoubt>,
 }
 
 /// The limit of one incarnation of an endpoint.
@@ -56,6 +70,9 @@
 pub struct LimitList {
     pub number: u64,
     pub limits: Vec<EndpointLimit>,
+    /// The starts in doubt, which count as cold.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub doubts: Vec<EndpointDoubt>,
 }
 
 /// What a reply says of the leader's list.
--- a/crates/coord/src/limits/mod.rs
+++ b/crates/coord/src/limits/mod.rs
@@ -15,10 +15,10 @@
 pub use {
     limit_gate::{COLD_GRANT_VALIDITY, GRANT_VALIDITY, LimitChange, LimitGate, SendPermit},
     limit_notice::{LimitNotice, MAX_LIMIT, parse_limit},
-    limit_table::{CREDIT_TIME, GRANT_INTERVAL, LimitTable, MIN_LIMIT},
+    limit_table::{ANNOUNCEMENT_DELAY, CREDIT_TIME, GRANT_INTERVAL, LimitTable, MIN_LIMIT},
     message::{
-        EndpointLimit, LimitDemand, LimitList, LimitListUpdate, LimitReply, LimitReport,
-        LimitRequest, SendGrant,
+        EndpointDoubt, EndpointLimit, LimitDemand, LimitList, LimitListUpdate, LimitReply,
+        LimitReport, LimitRequest, SendGrant,
     },
     shared_gate::SharedGate,
 };
--- a/crates/coord/src/tables/tables.rs
+++ b/crates/coord/src/tables/tables.rs
@@ -128,9 +128,14 @@
     /// Returns the rate of requests that an endpoint takes in its cold start from all
     /// instances together; `None` if it isn't in one, or its service names no rate.
     pub fn cold_rate(&self, endpoint: &Endpoint) -> Option<Rate> {
-        let service = self.catalog.services.get(&endpoint.pool)?;
-        let rate = service.cold_start.rate;
-        (endpoint.state == EndpointState::Cold && rate > Rate(0)).then_some(rate)
+        self.pool_cold_rate(&endpoint.pool).filter(|_| endpoint.state == EndpointState::Cold)
+    }
+
+    /// Returns the rate of requests that each endpoint of a pool takes in a cold start;
+    /// `None` if the pool's service names none.
+    pub fn pool_cold_rate(&self, pool: &PoolName) -> Option<Rate> {
+        let service = self.catalog.services.get(pool)?;
+        Some(service.cold_start.rate).filter(|it| *it > Rate(0))
     }
 
     fn edit_one(&mut self, edit: &Edit) -> Result<(), EditError> {
--- a/crates/coord/tests/limits.rs
+++ b/crates/coord/tests/limits.rs
@@ -7,9 +7,9 @@
         control::ShareHolder,
         ids::{EndpointName, Generation, Incarnation, NodeId, Rate, Slots, Term},
         limits::{
-            COLD_GRANT_VALIDITY, CREDIT_TIME, EndpointLimit, GRANT_INTERVAL, GRANT_VALIDITY,
-            LimitGate, LimitList, LimitListUpdate, LimitNotice, LimitReply, LimitReport,
-            LimitRequest, LimitTable, MAX_LIMIT, SendGrant, parse_limit,
+            ANNOUNCEMENT_DELAY, COLD_GRANT_VALIDITY, CREDIT_TIME, EndpointDoubt, EndpointLimit,
+            GRANT_INTERVAL, GRANT_VALIDITY, LimitGate, LimitList, LimitListUpdate, LimitNotice,
+            LimitReply, LimitReport, LimitRequest, LimitTable, MAX_LIMIT, SendGrant, parse_limit,
         },
         relay::{AttemptOutcome, Attempts, NextAction},
         tables::{Endpoint, EndpointState, Tables},
@@ -111,7 +111,8 @@
         limit: Rate(limit),
         age: Millis(0),
     };
-    LimitListUpdate::New(LimitList { number, limits: limit.map(row).into_iter().collect() })
+    let limits = limit.map(row).into_iter().collect();
+    LimitListUpdate::New(LimitList { number, limits, doubts: Vec::new() })
 }
 
 #[test]
@@ -762,3 +763,80 @@
     assert!(gate.take(now, &name()).is_some());
     assert!(gate.take(now + COLD_GRANT_VALIDITY, &name()).is_none());
 }
+
+fn doubt(generation: u64, age: u64) -> EndpointDoubt {
+    EndpointDoubt { endpoint: name(), generation: Generation(generation), age: Millis(age) }
+}
+
+/// The tables while the endpoint is warm, in a pool with a rate for cold starts.
+fn warm_tables(generation: u64) -> Tables {
+    let mut tables = cold_tables(generation, Rate(14_000));
+    tables.endpoints[&name()].state = EndpointState::Warm;
+    tables
+}
+
+/// Guards against an endpoint that starts again under its name and counts as the start before.
+#[test]
+fn a_start_in_doubt_counts_as_cold_at_all_instances_until_it_is_heard_of() {
+    let (mut table, tables) = (ready_table(), warm_tables(1));
+    let mut gates = [gate(1), gate(1)];
+    gates.iter_mut().for_each(|it| it.reload(&tables));
+    table.reload(START, &tables);
+    let [first, second] = &mut gates;
+
+    assert!(first.doubt(START, &name(), Generation(1)));
+    assert!(first.take(START, &name()).is_none());
+    assert!(first.has_news());
+    let request = first.request(START, 1, false);
+    request.doubts.iter().for_each(|it| table.record_doubt(START, it, &tables));
+    for gate in [&mut *first, &mut *second] {
+        let reply = LimitReply { list: table.list_update(START, 0, true), ..Default::default() };
+        gate.apply(START, START, 1, reply);
+        assert_eq!(gate.limit(&name()), Some(Rate(14_000)));
+        assert!(gate.take(START, &name()).is_none(), "nothing is granted yet");
+    }
+    table.record_announcement(START + Millis(500), &name(), Generation(1));
+    assert_eq!(table.list(START).doubts.len(), 1, "it may have been under way");
+    let now = START + ANNOUNCEMENT_DELAY;
+    table.record_announcement(now, &name(), Generation(1));
+
+    for gate in [first, second] {
+        let reply = LimitReply { list: table.list_update(now, 0, true), ..Default::default() };
+        gate.apply(now, now, 2, reply);
+        assert!(gate.take(now, &name()).is_some());
+    }
+}
+
+#[test]
+fn a_later_start_ends_a_doubt_and_pools_without_cold_starts_know_none() {
+    let mut gate = gate(1);
+    assert!(!gate.doubt(START, &name(), Generation(1)), "the pool has no rate for cold starts");
+    gate.reload(&warm_tables(1));
+    assert!(gate.doubt(START, &name(), Generation(1)));
+    assert!(!gate.doubt(START, &name(), Generation(1)), "it is known");
+    let mut table = ready_table();
+    table.record_doubt(START, &doubt(1, 0), &warm_tables(1));
+
+    gate.reload(&warm_tables(2));
+    table.reload(START, &warm_tables(2));
+    table.record_doubt(START, &doubt(1, 0), &warm_tables(2));
+
+    assert_eq!(gate.limit(&name()), None);
+    assert!(table.list(START).doubts.is_empty());
+}
+
+#[test]
+fn a_new_leader_learns_of_doubts_from_the_instances() {
+    let (mut table, tables) = (ready_table(), warm_tables(1));
+    table.record_doubt(START, &doubt(1, 0), &tables);
+    let mut gate = gate(1);
+    gate.reload(&tables);
+    let reply = LimitReply { list: table.list_update(START, 0, true), ..Default::default() };
+    gate.apply(START, START, 1, reply);
+
+    let usual = gate.request(START, 2, false);
+    let whole = gate.request(START, 3, true);
+
+    assert!(usual.doubts.is_empty());
+    assert_eq!(whole.doubts, [doubt(1, 0)]);
+}
--- a/crates/daemon/src/relay/notices.rs
+++ b/crates/daemon/src/relay/notices.rs
@@ -4,13 +4,14 @@
     super::{HeaderNames, clock::time_since},
     crate::answer_notices::{read_limit, read_notices},
     coord::{
-        ids::{EndpointName, Rate},
+        ids::{EndpointName, Generation, Rate},
         limits::{LimitChange, LimitNotice, SendPermit, SharedGate},
         relay::{EndpointNotice, EndpointNotices},
         tables::{Endpoint, Tables},
         time::{Millis, Time},
     },
     hyper::{Response, StatusCode, header::HeaderName},
+    indexmap::IndexMap,
     metrics::counter,
     std::{
         cell::{Cell, Ref, RefCell},
@@ -18,12 +19,18 @@
     },
 };
 
+/// How long before an answer a refused connection counts.
+const REFUSAL_TIME: Millis = Millis(1000);
+
 /// The notices of the endpoints, as this instance has read them.
 pub struct Notices {
     table: RefCell<EndpointNotices>,
     leaving: HeaderName,
     limit: HeaderName,
     gate: SharedGate,
+    /// The starts of endpoints that refused a connection, and when, until an answer shows
+    /// that this instance reaches any.
+    refusals: RefCell<IndexMap<EndpointName, (Generation, Time)>>,
     /// Up to when ended pauses are logged.
     swept: Cell<Time>,
     start: Instant,
@@ -37,6 +44,7 @@
             leaving: names.leaving.clone(),
             limit: names.limit.clone(),
             gate,
+            refusals: RefCell::default(),
             swept: Cell::new(Time(0)),
             start,
         }
@@ -65,7 +73,32 @@
         self.gate.lock().put_back(permit);
     }
 
-    /// Returns the limit of an endpoint, if it names one.
+    /// Records that an endpoint refused a connection. An instance that is cut off is refused
+    /// by all, so that this counts only once an endpoint answers soon afterwards.
+    pub fn note_refusal(&self, endpoint: &Endpoint) {
+        let refusal = (endpoint.generation, time_since(self.start));
+        self.refusals.borrow_mut().insert(endpoint.name.clone(), refusal);
+    }
+
+    /// Takes for cold the endpoints that have refused connections shortly before an endpoint
+    /// answered.
+    fn doubt_refused(&self) {
+        if self.refusals.borrow().is_empty() {
+            return;
+        }
+        let now = time_since(self.start);
+        let mut refusals = self.refusals.borrow_mut();
+        for (name, (generation, at)) in refusals.drain(..) {
+            if now.since(at) <= REFUSAL_TIME && self.gate.lock().doubt(at, &name, generation) {
+                log::info!(
+                    endpoint = name.as_str(), generation:% = generation;
+                    "[relay] an endpoint may have started again"
+                );
+            }
+        }
+    }
+
+    /// Returns the limit of an endpoint, if it has one.
     pub fn limit(&self, name: &EndpointName) -> Option<Rate> {
         self.gate.lock().limit(name)
     }
@@ -89,6 +122,7 @@
     /// Reads the head of an endpoint's answer to a request that was sent at `sent`.
     /// Returns whether the endpoint has just said that it is leaving.
     pub fn read<B>(&self, endpoint: &Endpoint, sent: Time, response: &Response<B>) -> bool {
+        self.doubt_refused();
         let limit = read_limit(response, &self.limit);
         // Another endpoint may have answered, at an address that is used again.
         let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -152,7 +152,13 @@
         if !self.notices.may_send(&endpoint.name) {
             return Err(SendError::Withheld);
         }
-        let connection = connect(endpoint.addr).await?;
+        let connection = connect(endpoint.addr).await;
+        if let Err(SendError::Connect { source }) = &connection
+            && source.kind() == io::ErrorKind::ConnectionRefused
+        {
+            self.notices.note_refusal(endpoint);
+        }
+        let connection = connection?;
         let result = self.attempt(endpoint, connection, request).await;
         result.map_err(|(err, _)| err)
     }
--- a/crates/harness/tests/cold_starts.rs
+++ b/crates/harness/tests/cold_starts.rs
@@ -10,9 +10,11 @@
         tables::EndpointState,
         time::Millis,
     },
-    harness::{Fault, relay_catalog, relay_route},
+    harness::{
+        Fault, LONG_TIMEOUT, announce, relay_catalog, relay_endpoint, relay_route, wait_until,
+    },
     limiting::{ENDPOINTS, Outcome, System, endpoints, instance_count, run_beside},
-    standin::LimitedEndpoint,
+    standin::{AnswerForm, CrashSpec, CrashingEndpoint, LimitedEndpoint, Poison},
     std::{
         thread,
         time::{Duration, Instant},
@@ -47,12 +49,17 @@
     thread::sleep(Duration::from_millis(500));
 }
 
-fn most_in_window(endpoint: &LimitedEndpoint, from: Instant) -> usize {
-    let times: Vec<Instant> = endpoint.arrivals().into_iter().filter(|it| *it >= from).collect();
+/// The most of these times in a second.
+fn most_in_second(times: &[Instant]) -> usize {
     let count = |at: &Instant| times.iter().filter(|it| **it >= *at && **it < *at + WINDOW).count();
     times.iter().map(count).max().unwrap_or(0)
 }
 
+fn most_in_window(endpoint: &LimitedEndpoint, from: Instant) -> usize {
+    let times: Vec<Instant> = endpoint.arrivals().into_iter().filter(|it| *it >= from).collect();
+    most_in_second(&times)
+}
+
 fn check_cold(system: &System, at: usize, from: Instant) {
     let (row, endpoint) = &system.endpoints[at];
     let most = most_in_window(endpoint, from);
@@ -142,3 +149,49 @@
 
     (1..=ENDPOINTS).for_each(|it| check_cold(&system, it, from));
 }
+
+/// Guards against an endpoint that starts again under its name and gets, until it announces
+/// itself, what the start before got, which was warm.
+#[test]
+fn an_endpoint_that_starts_again_counts_as_cold_before_it_is_announced() {
+    let mut system = System::start(&catalog(Vec::new()), endpoints("app", ENDPOINTS));
+    let again = CrashingEndpoint::start(CrashSpec {
+        poison: Poison::Body("none".to_owned()),
+        form: AnswerForm::Plain,
+        prefill: Duration::from_millis(20),
+        begin: Duration::ZERO,
+        down: Duration::from_millis(300),
+    });
+    let row = relay_endpoint("again", "app", again.addr);
+    let announced = || system.listeners.iter().any(|it| announce(*it, &row));
+    wait_until("the endpoint is announced", LONG_TIMEOUT, announced);
+    let listeners = system.listeners.clone();
+
+    let mut crashed = Instant::now();
+    run_beside(&mut system, |_| {
+        thread::sleep(Duration::from_secs(2));
+        crashed = Instant::now();
+        again.crash();
+        thread::sleep(Duration::from_millis(2000));
+    });
+    let unannounced = Instant::now();
+    let most = most_of(&again, crashed, unannounced);
+    assert!(most <= BOUND, "{most} requests in a second, allowed {BOUND}");
+
+    // The start before announces itself again: it had never ended.
+    run_beside(&mut system, |_| {
+        for _ in 0..25 {
+            listeners.iter().any(|it| announce(*it, &row));
+            thread::sleep(Duration::from_millis(200));
+        }
+    });
+    let most = most_of(&again, unannounced + Duration::from_secs(3), Instant::now());
+    assert!(most > BOUND, "only {most} in a second of an endpoint that runs on");
+}
+
+/// The most arrivals at an endpoint in a second.
+fn most_of(endpoint: &CrashingEndpoint, from: Instant, until: Instant) -> usize {
+    let arrivals = endpoint.arrivals().into_iter().map(|it| it.at);
+    let times: Vec<Instant> = arrivals.filter(|it| *it >= from && *it < until).collect();
+    most_in_second(&times)
+}
