Answer a copy of a decided change that is read after a stall

Such a copy now gets the outcome that the leader's history has; a change that it doesn't have is refused as before.

harness/tests/late_orders.rs has a test for it, which passes; it was not run on the code before.

--- a/crates/daemon/src/core/operators.rs
+++ b/crates/daemon/src/core/operators.rs
@@ -17,7 +17,7 @@
         raft::Config,
         tables::{Change, ChangeOutcome, Command, Outcome},
         time::{Millis, Time},
-        wire::{ChangeRequest, OperatorError, TablesView},
+        wire::{ChangeRequest, HistoryRow, OperatorError, TablesView},
     },
 };
 
@@ -28,6 +28,7 @@
 /// The most history rows in an answer, newest first.
 const MAX_HISTORY_ROWS: usize = 1000;
 
+const STOOD_STILL: &str = "this instance stood still and can't tell how old the request is";
 const NO_LEASE: &str = "this instance holds no lease; nothing was done";
 
 /// Who waits for the leader's answer.
@@ -60,8 +61,14 @@
     pub(super) fn on_operator(&mut self, now: Time, call: OperatorCall) {
         let deadline = now + OPERATOR_TIMEOUT;
         if call.request.is_order() && self.is_after_stall(now) {
-            let detail = "this instance stood still and can't tell how old the request is";
-            return refuse(call, detail);
+            return match call.request {
+                // A copy of a change that was decided gets its outcome.
+                OperatorRequest::Change(_) => {
+                    let call = OperatorCall { is_late: true, ..call };
+                    self.ask_leader(now, Box::new(call), deadline);
+                }
+                _ => refuse(call, STOOD_STILL),
+            };
         }
         let command = match &call.request {
             OperatorRequest::Found => return self.found_system(call),
@@ -181,6 +188,9 @@
                     false => drop_order(&call),
                 }
             }
+            Ok(Ok(AdminAnswer::History(rows))) if call.request.is_order() => {
+                answer_from_history(*call, &rows);
+            }
             Ok(Ok(it)) => {
                 (call.respond)(OperatorAnswer::Admin(it));
             }
@@ -268,6 +278,7 @@
         }
         let admin = match &call.request {
             OperatorRequest::Admin(it) => it.clone(),
+            _ if call.is_late => AdminRequest::History,
             _ => AdminRequest::Tables,
         };
         if self.leads() {
@@ -301,6 +312,19 @@
     }
 }
 
+/// Answers a change that was read after a stall by the outcome that it had before, or refuses
+/// it if it had none.
+fn answer_from_history(call: OperatorCall, rows: &[HistoryRow]) {
+    let known = match &call.request {
+        OperatorRequest::Change(change) => rows.iter().find(|it| it.id == change.id),
+        _ => None,
+    };
+    match known {
+        Some(row) => (call.respond)(OperatorAnswer::Outcome(Outcome::Change(row.outcome.clone()))),
+        None => refuse(call, STOOD_STILL),
+    }
+}
+
 fn drop_order(call: &OperatorCall) {
     log::warn!(request:% = call.request; "[operators] a request whose caller gave up is dropped");
 }
--- a/crates/daemon/src/operators/call.rs
+++ b/crates/daemon/src/operators/call.rs
@@ -21,6 +21,8 @@
 pub struct OperatorCall {
     pub request: OperatorRequest,
     pub caller: CallerWatch,
+    /// Whether it may have been sent long before it was read.
+    pub is_late: bool,
     pub respond: OperatorResponder,
 }
 
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -87,7 +87,7 @@
         // The receiver is gone if the wait has timed out.
         let _ = respond.send(answer);
     });
-    if !inbox.offer(Event::Operator(OperatorCall { request, caller, respond })) {
+    if !inbox.offer(Event::Operator(OperatorCall { request, caller, is_late: false, respond })) {
         return error_reply(503, false, "too many events wait");
     }
     match answers.recv_timeout(ANSWER_TIMEOUT) {
--- a/crates/harness/tests/late_orders.rs
+++ b/crates/harness/tests/late_orders.rs
@@ -94,3 +94,25 @@
         }
     }
 }
+
+/// Guards against a change that was accepted, is sent again to an instance that stands still, and
+/// is refused as if it weren't taken.
+#[test]
+fn a_copy_of_an_accepted_change_that_is_read_late_gets_its_outcome() {
+    let cluster = ClusterSpec::new(3, 0).start();
+    let leader = cluster.leader();
+    let frozen = (leader + 1) % 3;
+    let change = new_change(None, vec![take_out()]);
+    let accepted = cluster.daemon(leader).operator().change(&change).expect("it is accepted");
+    let process = &cluster.daemon(frozen).proc;
+
+    process.signal(SIGSTOP);
+    let copy = thread::scope(|scope| {
+        let sent = scope.spawn(|| cluster.daemon(frozen).operator().change(&change));
+        thread::sleep(Duration::from_millis(900));
+        process.signal(SIGCONT);
+        sent.join().expect("the copy is sent")
+    });
+
+    assert_eq!(copy.expect("it is answered"), accepted);
+}
