Log how checks of endpoints end and what speaks against suspects of crashes

Neither the lines nor the metrics told the hypotheses apart: a broken request whose endpoint still accepts connections left no line about its check, crashes had no count of complete events, and nothing showed what the leader counts against which suspect.

Each check has a line with its result (refused, accepted, unreachable) and is counted in mangobend_endpoint_checks_total; crashes name the complete events; the leader logs, once a second, up to four suspects with their crashes and what they still wait for (coord::control::Wait). Logs that tests keep are structured.

--- a/crates/coord/src/control/crash_evidence.rs
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -13,7 +13,7 @@
     },
     indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
-    std::collections::VecDeque,
+    std::{collections::VecDeque, fmt},
 };
 
 /// How long crashes count.
@@ -75,6 +75,42 @@
     pub age: Millis,
 }
 
+/// Why a suspect isn't withheld yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wait {
+    /// Too few endpoints have crashed under it, or in too short a time.
+    Crashes,
+    /// Instances may still report that it was answered.
+    Reports,
+    /// The pool has answered nothing since the first crash.
+    PoolAnswers,
+    /// Another request was at the same crashes, or no other request has the part.
+    Distinction,
+}
+
+impl fmt::Display for Wait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Crashes => "crashes",
+            Self::Reports => "reports",
+            Self::PoolAnswers => "pool_answers",
+            Self::Distinction => "distinction",
+        })
+    }
+}
+
+/// What the evidence says of one suspect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SuspectFigures {
+    pub key: SuspectKey,
+    /// The number of crashes that count against it.
+    pub crashes: usize,
+    /// The first of them.
+    pub first: Time,
+    /// Nothing if it is to be withheld.
+    pub waits_for: Option<Wait>,
+}
+
 /// A request at a crash.
 #[derive(Debug)]
 struct LostRequest {
@@ -252,21 +288,43 @@
         due.max_by_key(|(_, it)| (it.crashes.len(), it.position)).map(|(key, _)| key.clone())
     }
 
-    /// Whether a suspect is to be withheld. None is while its pool answers nothing, unless
-    /// it was at all crashes: then neither parts nor requests are what the pool fails for.
+    /// Returns what the evidence says of the suspects under which more than one endpoint
+    /// crashed; those with the most crashes come first.
+    pub fn figures(&self, now: Time) -> Vec<SuspectFigures> {
+        let rows = self.suspicions.iter().filter(|(_, it)| it.crashes.len() > 1);
+        rows.map(|(key, it)| SuspectFigures {
+            key: key.clone(),
+            crashes: it.crashes.len(),
+            first: it.crashes[0],
+            waits_for: self.waits_for(now, key, it),
+        })
+        .collect()
+    }
+
     fn is_due(&self, now: Time, key: &SuspectKey, it: &Suspicion) -> bool {
+        self.waits_for(now, key, it).is_none()
+    }
+
+    /// Returns why a suspect isn't withheld yet. None is while its pool answers nothing,
+    /// unless it was at all crashes: then neither parts nor requests are what the pool fails
+    /// for.
+    fn waits_for(&self, now: Time, key: &SuspectKey, it: &Suspicion) -> Option<Wait> {
         let is_request = key.suspect.is_request();
         let needed = if is_request { MIN_REQUEST_CRASHES } else { MIN_PART_CRASHES };
         let Some(known) = it.known_at.get(..needed).and_then(|it| it.iter().max()) else {
-            return false;
+            return Some(Wait::Crashes);
         };
         let is_settled = now.since(*known) >= SETTLE_TIME;
         let answers = self.pool_answered.get(&key.pool).is_some_and(|at| *at > it.crashes[0]);
         let span = it.crashes.last().map_or(Millis(0), |last| last.since(it.crashes[0]));
         match is_request {
-            true if span < MIN_REQUEST_SPAN || self.is_tied(key, it) => false,
-            true => is_settled && (answers || it.explains_all),
-            false => is_settled && answers && it.is_shared,
+            true if span < MIN_REQUEST_SPAN => Some(Wait::Crashes),
+            true if self.is_tied(key, it) => Some(Wait::Distinction),
+            false if !it.is_shared => Some(Wait::Distinction),
+            _ if !is_settled => Some(Wait::Reports),
+            true if !answers && !it.explains_all => Some(Wait::PoolAnswers),
+            false if !answers => Some(Wait::PoolAnswers),
+            _ => None,
         }
     }
 
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -24,7 +24,7 @@
 mod voter;
 
 pub use {
-    crash_evidence::{CRASH_WINDOW, CrashEvidence, CrashReport},
+    crash_evidence::{CRASH_WINDOW, CrashEvidence, CrashReport, SuspectFigures, Wait},
     cut_table::CutTable,
     deregistrations::{Departure, DeregistrationStep, Deregistrations},
     endpoints::EndpointTable,
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -4,7 +4,7 @@
     super::{
         CrashEvidence, CutTable, EndpointStatus, EndpointTable, Feed, LEASE_MARGIN, LONG_POLL,
         LeaseTable, MemberStatus, RenewError, RenewReply, RenewRequest, RolloutDuties, ShareHolder,
-        ShareTable, Status, TeamTable, UpdateCounts, UpdateStats,
+        ShareTable, Status, SuspectFigures, TeamTable, UpdateCounts, UpdateStats,
     },
     crate::{
         ids::{Bytes, CatalogVersion, Index, NodeId, PoolName, Slots, Term, Version},
@@ -421,6 +421,11 @@
         self.limits.take_count()
     }
 
+    /// Returns what crashes of endpoints speak against; see [`CrashEvidence::figures`].
+    pub fn suspect_figures(&self, now: Time) -> Vec<SuspectFigures> {
+        self.crashes.figures(now)
+    }
+
     /// Takes the completions since the last call.
     pub fn take_completions(&mut self) -> Vec<Completion> {
         std::mem::take(&mut self.completions)
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -53,6 +53,8 @@
 const GAUGE_INTERVAL: Millis = Millis(500);
 /// The least time between two reports of what a leader sends.
 const REPORT_INTERVAL: Millis = Millis(1000);
+/// The maximum number of suspects of crashes that are logged in each interval.
+const MAX_SUSPECT_LINES: usize = 4;
 /// The least time without periodic work after which the process counts as having stood
 /// still: half of the second that callers of the control interface wait.
 const MIN_STALL: Millis = Millis(500);
@@ -485,6 +487,14 @@
         if sends > 0 {
             log::info!(sends = sends; "[lease] sends to limited endpoints granted");
         }
+        for it in voter.suspect_figures(now).iter().take(MAX_SUSPECT_LINES) {
+            log::info!(
+                pool:% = it.key.pool, suspect:% = it.key.suspect, crashes = it.crashes,
+                first_ms = now.since(it.first).0,
+                waits_for = it.waits_for.map_or_else(String::new, |it| it.to_string());
+                "[lease] evidence against a suspect of crashes"
+            );
+        }
         for (follower, entries, size) in voter.raft().unacknowledged() {
             log::info!(
                 follower:% = follower, entries = entries, bytes = size.0;
--- a/crates/daemon/src/endpoints/call.rs
+++ b/crates/daemon/src/endpoints/call.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         answer_notices::{LEAVING_HEADER, LIMIT_HEADER, read_limit, read_notices},
-        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, is_refusal},
+        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, CheckResult},
         event::{Event, Inbox},
     },
     coord::{
@@ -100,16 +100,23 @@
     fn report_crash(self, inbox: &Inbox) {
         let at = Instant::now();
         thread::sleep(CHECK_DELAY);
-        if !is_refusal(&TcpStream::connect_timeout(&self.addr, CHECK_TIMEOUT)) {
-            return;
-        }
+        let connected = TcpStream::connect_timeout(&self.addr, CHECK_TIMEOUT);
+        let result = CheckResult::of_connection(Some(&connected));
+        result.count();
         let suspect = self.origin.suspect();
         let ran = Millis(at.duration_since(self.sent).as_millis() as u64);
+        let event = match result {
+            CheckResult::Refused => "[endpoints] an endpoint crashed under a call",
+            _ => "[endpoints] a call broke off at an endpoint that isn't known to have crashed",
+        };
         log::info!(
             endpoint:% = self.endpoint, generation:% = self.generation, pool:% = self.pool,
-            ran_ms = ran.0, digest:% = suspect;
-            "[endpoints] an endpoint crashed under a call"
+            ran_ms = ran.0, check:% = result, digest:% = suspect;
+            "{event}"
         );
+        if result != CheckResult::Refused {
+            return;
+        }
         let report = CrashReport {
             endpoint: self.endpoint,
             generation: self.generation,
--- a/crates/daemon/src/relay/crash_watch.rs
+++ b/crates/daemon/src/relay/crash_watch.rs
@@ -4,7 +4,7 @@
 use {
     super::{record::join_parts, request::RelayRequest},
     crate::{
-        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, is_refusal},
+        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, CheckResult},
         event::{Event, Inbox},
     },
     coord::{
@@ -72,6 +72,7 @@
             prompt: request.prompt.clone(),
             began_at: Instant::now(),
             has_bytes: false,
+            events: 0,
         }
     }
 
@@ -87,6 +88,7 @@
             prompt: None,
             began_at: Instant::now(),
             has_bytes: false,
+            events: 0,
         }
     }
 
@@ -115,9 +117,16 @@
     prompt: Option<HeaderValue>,
     began_at: Instant,
     has_bytes: bool,
+    /// The number of complete events that have arrived.
+    events: u64,
 }
 
 impl AttemptWatch {
+    /// Notes how many complete events have arrived.
+    pub fn note_events(&mut self, events: u64) {
+        self.events = events;
+    }
+
     /// Notes that bytes of the answer have arrived: its parts crash nothing.
     pub fn note_bytes(&mut self) {
         if !std::mem::replace(&mut self.has_bytes, true) {
@@ -140,17 +149,23 @@
         tokio::task::spawn_local(async move {
             tokio::time::sleep(CHECK_DELAY).await;
             let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(self.endpoint.addr)).await;
-            if !connected.is_ok_and(|it| is_refusal(&it)) {
-                return;
-            }
+            let result = CheckResult::of_connection(connected.as_ref().ok());
+            result.count();
             let ran = Millis(at.duration_since(self.began_at).as_millis() as u64);
+            let event = match result {
+                CheckResult::Refused => "[relay] an endpoint crashed under a request",
+                _ => "[relay] a request broke off at an endpoint that isn't known to have crashed",
+            };
             log::info!(
                 request = self.request.as_str(), endpoint = self.endpoint.name.as_str(),
                 generation:% = self.endpoint.generation, pool:% = self.pool, began = began,
-                ran_ms = ran.0, bytes = self.has_bytes, parts = join_parts(&self.parts),
-                digest:% = self.whole;
-                "[relay] an endpoint crashed under a request"
+                ran_ms = ran.0, bytes = self.has_bytes, events = self.events, check:% = result,
+                parts = join_parts(&self.parts), digest:% = self.whole;
+                "{event}"
             );
+            if result != CheckResult::Refused {
+                return;
+            }
             let prompt = self.prompt.as_ref().map_or(&[][..], HeaderValue::as_bytes);
             let source = RequestDigest::of_fields(&[self.whole.to_string().as_bytes(), prompt]);
             let parts = if self.has_bytes { Vec::new() } else { self.parts };
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -77,6 +77,9 @@
         self.record.add_bytes(data.len());
         if let Some(it) = self.check.events() {
             self.record.set_events(it.events(), it.is_partial());
+            if let Some(watch) = &mut self.watch {
+                watch.note_events(it.events());
+            }
         }
     }
 
--- a/crates/harness/src/daemon.rs
+++ b/crates/harness/src/daemon.rs
@@ -77,6 +77,11 @@
         if let Some(it) = self.advertise {
             command.args(["--peer-advertise", &it.to_string()]);
         }
+        // Logs that are kept have the fields of each event.
+        let stated = self.args.iter().any(|it| it == "--log-format");
+        if std::env::var_os("MANGOBEND_KEEP").is_some() && !stated {
+            command.args(["--log-format", "json"]);
+        }
         command.args(&self.args).stdin(Stdio::null());
         command
     }
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -9,23 +9,32 @@
     time::{Duration, Instant},
 };
 
+/// What lines of structured logs contain.
+const LOG_MARK: &str = "\"event\":";
+
 /// A child process, killed on drop.
 #[derive(Debug)]
 pub struct Proc(Child);
 
 impl Proc {
-    /// Starts a process and returns it with its first line of output. Its
-    /// standard error is appended to `errors`, if given.
+    /// Starts a process and returns it with its first line of output that isn't a log
+    /// line. The rest, and its standard error, are appended to `errors`, if given.
     ///
     /// # Panics
     /// If the process can't be started or exits without output.
     pub fn start(command: &mut Command, errors: Option<&Path>) -> (Self, String) {
         let (mut proc, mut output) = Self::spawn_piped(command, errors);
         let mut line = String::new();
-        let read = output.read_line(&mut line);
-        if read.is_err() || line.is_empty() {
-            let status = proc.0.wait();
-            panic!("{command:?} exited without output: {status:?}");
+        loop {
+            line.clear();
+            let read = output.read_line(&mut line);
+            if read.is_err() || line.is_empty() {
+                let status = proc.0.wait();
+                panic!("{command:?} exited without output: {status:?}");
+            }
+            if !line.contains(LOG_MARK) {
+                break;
+            }
         }
         if let Some(path) = errors {
             append_rest(output, path);
