Test prompts that crash endpoints in ways that aren't noticed

Stand-ins crash before the head, after it or within the first event; while they are down their addresses refuse, close or hold connections; they cut streams off and live on. No check of an existing test is changed.

--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -168,8 +168,44 @@
     assert_eq!(suspect_to_withhold(&mut evidence, Time(5000), &withheld), Some(key(POISON)));
 }
 
+#[test]
+fn a_part_that_crashes_endpoints_before_the_head_is_found_beside_requests_with_heads() {
+    let mut evidence = CrashEvidence::default();
+    for number in 1..=6 {
+        let at = Time(1000 * number);
+        let sound = format!("sound{number}");
+        evidence.record_crash(at, &report(number, &["first", POISON], false));
+        evidence.record_crash(at, &report(number, &["first", &sound], true));
+        evidence.record_answer(at + Millis(300), &key("first"));
+    }
+
+    assert_eq!(suspect_to_withhold(&mut evidence, Time(7500), &none()), Some(key(POISON)));
+}
+
+#[test]
+fn crashes_soon_after_each_other_count_each_if_the_request_was_sent_in_between() {
+    let mut evidence = CrashEvidence::default();
+    for number in 1..=4 {
+        let it = report(number, &["first", POISON], false);
+        let it = CrashReport { ran: Millis(60), ..it };
+        evidence.record_crash(Time(1000 + 70 * number), &it);
+    }
+    evidence.record_answer(Time(1400), &key("first"));
+
+    assert_eq!(suspect_to_withhold(&mut evidence, Time(2500), &none()), Some(key(POISON)));
+}
+
+/// When the poison part crashes an endpoint of a simulated pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PoisonForm {
+    AfterHead,
+    /// Requests beside it may have had their heads.
+    BeforeHead,
+}
+
 /// A simulated pool under sound requests and, from some time on, poison ones.
 struct Pool {
+    form: PoisonForm,
     rng: StdRng,
     now: Time,
     evidence: CrashEvidence,
@@ -194,13 +230,15 @@
         let incarnation = self.last_incarnation;
         for _ in 0..self.rng.random_range(0..4) {
             let parts = self.sound_parts();
-            let began = !poison && self.rng.random_bool(0.3);
+            let may_begin = !poison || self.form == PoisonForm::BeforeHead;
+            let began = may_begin && self.rng.random_bool(0.3);
             let parts = [parts[0].as_str(), parts[1].as_str()];
             self.evidence.record_crash(self.now, &report(incarnation, &parts, began));
         }
         if poison {
             let first = self.sound_parts()[0].clone();
-            let it = report(incarnation, &[&first, POISON], true);
+            let began = self.form == PoisonForm::AfterHead;
+            let it = report(incarnation, &[&first, POISON], began);
             self.evidence.record_crash(self.now, &it);
             self.poison_crashes.push(self.now);
         }
@@ -245,12 +283,23 @@
 
 #[test]
 fn simulated_pools_withhold_the_poison_part_in_time_and_no_other() {
-    for seed in 0..SEEDS {
+    check_simulated_pools(PoisonForm::AfterHead);
+}
+
+#[test]
+fn simulated_pools_withhold_a_part_that_crashes_before_the_head_in_time_and_no_other() {
+    check_simulated_pools(PoisonForm::BeforeHead);
+}
+
+fn check_simulated_pools(form: PoisonForm) {
+    let seeds = std::env::var("MANGOBEND_CRASH_SEEDS").ok().and_then(|it| it.parse().ok());
+    for seed in 0..seeds.unwrap_or(SEEDS) {
         let mut rng = StdRng::seed_from_u64(seed);
         let poison_rate = rng.random_range(0.3..4.0) * STEP.0 as f64 / 1000.0;
         let own_rate = rng.random_range(0.0..0.3) * STEP.0 as f64 / 1000.0;
         let sound_per_step = rng.random_range(1..4);
         let mut pool = Pool {
+            form,
             rng,
             now: Time(10_000),
             evidence: CrashEvidence::default(),
--- a/crates/harness/tests/cold_starts.rs
+++ b/crates/harness/tests/cold_starts.rs
@@ -14,7 +14,9 @@
         Fault, LONG_TIMEOUT, announce, relay_catalog, relay_endpoint, relay_route, wait_until,
     },
     limiting::{ENDPOINTS, Outcome, System, endpoints, instance_count, run_beside},
-    standin::{AnswerForm, CrashSpec, CrashingEndpoint, LimitedEndpoint, Poison},
+    standin::{
+        AnswerForm, CrashPoint, CrashSpec, CrashingEndpoint, LimitedEndpoint, Outage, Poison,
+    },
     std::{
         thread,
         time::{Duration, Instant},
@@ -157,7 +159,10 @@
     let mut system = System::start(&catalog(Vec::new()), endpoints("app", ENDPOINTS));
     let again = CrashingEndpoint::start(CrashSpec {
         poison: Poison::Body("none".to_owned()),
+        cut: None,
         form: AnswerForm::Plain,
+        point: CrashPoint::BeforeHead,
+        outage: Outage::Refused,
         prefill: Duration::from_millis(20),
         begin: Duration::ZERO,
         down: Duration::from_millis(300),
--- a/crates/harness/tests/crashing_requests.rs
+++ b/crates/harness/tests/crashing_requests.rs
@@ -13,7 +13,7 @@
     },
     crashing::{CONTACT, Outcome, SIGKILL, System},
     harness::{CallerResult, LONG_TIMEOUT, relay_request, relay_route, wait_until},
-    standin::{AnswerForm, CrashSpec, Poison},
+    standin::{AnswerForm, CrashPoint, CrashSpec, Outage, Poison},
     std::{
         sync::atomic::{AtomicBool, Ordering},
         thread,
@@ -32,7 +32,10 @@
 fn spec(form: AnswerForm) -> CrashSpec {
     CrashSpec {
         poison: Poison::Body(POISON.to_owned()),
+        cut: None,
         form,
+        point: CrashPoint::AfterHead,
+        outage: Outage::Refused,
         prefill: Duration::from_millis(10),
         begin: Duration::from_millis(40),
         down: Duration::from_millis(1500),
--- a/crates/standin/src/crashing.rs
+++ b/crates/standin/src/crashing.rs
@@ -30,17 +30,41 @@
 /// How an endpoint answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerForm {
-    /// A stream of events. It crashes after the head.
+    /// A stream of events.
     Stream,
     /// A plain answer, or the lines of a run. It crashes before the head.
     Plain,
 }
 
+/// How much of a stream is sent before the endpoint crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashPoint {
+    BeforeHead,
+    AfterHead,
+    /// After some bytes of the first event.
+    InFirstEvent,
+}
+
+/// What becomes of connections to an endpoint that is down. Those that it had end at the crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outage {
+    /// Nothing listens.
+    Refused,
+    /// They are accepted and closed at once, as by a proxy without an upstream.
+    Closed,
+    /// They are accepted, not read, and closed when the endpoint is up again.
+    Hanging,
+}
+
 /// How an endpoint behaves.
 #[derive(Debug, Clone)]
 pub struct CrashSpec {
     pub poison: Poison,
+    /// Ends the connection where the poison crashes the endpoint, which goes on.
+    pub cut: Option<Poison>,
     pub form: AnswerForm,
+    pub point: CrashPoint,
+    pub outage: Outage,
     /// The time from a request to the head of its answer.
     pub prefill: Duration,
     /// The time from then on until it crashes or goes on.
@@ -120,18 +144,35 @@
                     Err(_) => thread::sleep(POLL_INTERVAL),
                 }
             }
-            drop(listener);
-            thread::sleep(self.spec.down);
-            listener = loop {
-                match TcpListener::bind(addr) {
-                    Ok(it) => break it,
-                    Err(_) => thread::sleep(POLL_INTERVAL),
-                }
-            };
+            if self.spec.outage == Outage::Refused {
+                drop(listener);
+                thread::sleep(self.spec.down);
+                listener = loop {
+                    match TcpListener::bind(addr) {
+                        Ok(it) => break it,
+                        Err(_) => thread::sleep(POLL_INTERVAL),
+                    }
+                };
+            } else {
+                self.accept_while_down(&listener);
+            }
             *lock(&self.down_until) = None;
         }
     }
 
+    /// Accepts connections that are closed at once or when the outage ends.
+    fn accept_while_down(&self, listener: &TcpListener) {
+        let end = Instant::now() + self.spec.down;
+        let mut hanging = Vec::new();
+        while Instant::now() < end {
+            match listener.accept() {
+                Ok((stream, _)) if self.spec.outage == Outage::Hanging => hanging.push(stream),
+                Ok(_) => {}
+                Err(_) => thread::sleep(POLL_INTERVAL),
+            }
+        }
+    }
+
     fn start_connection(self: Arc<Self>, stream: TcpStream) {
         let Ok(kept) = stream.try_clone() else {
             return;
@@ -146,15 +187,29 @@
             let poison = self.spec.poison.is_in(&request);
             lock(&self.arrivals).push(Arrival { at: request.at, poison });
             thread::sleep(self.spec.prefill);
-            let streams = self.spec.form == AnswerForm::Stream;
-            if streams && stream.write_all(&stream_head(&request)).is_err() {
-                return;
+            let cut = self.spec.cut.as_ref().is_some_and(|it| it.is_in(&request));
+            let is_health_check = request.head.starts_with("GET ");
+            let streams = self.spec.form == AnswerForm::Stream && !is_health_check;
+            let point = self.spec.point;
+            let fails = poison || cut;
+            if streams && !(fails && point == CrashPoint::BeforeHead) {
+                let mut begun = stream_head(&request);
+                if fails && point == CrashPoint::InFirstEvent {
+                    begun.extend_from_slice(STREAM_BEGIN);
+                }
+                if stream.write_all(&begun).is_err() {
+                    return;
+                }
             }
             thread::sleep(self.spec.begin);
             if poison {
                 self.crash();
                 return;
             }
+            if cut {
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
             let answer = match streams {
                 true => stream_body(),
                 false if request.head.starts_with("POST /run ") => run_answer(&request),
@@ -201,6 +256,9 @@
     signed_response(request, "200 OK", headers, "")
 }
 
+/// A chunk with the first line of an event.
+const STREAM_BEGIN: &[u8] = b"6\r\nid: 1\n\r\n";
+
 fn stream_body() -> Vec<u8> {
     let event = "id: 1\ndata: one\n\n";
     format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()).into_bytes()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use {
     control::Control,
-    crashing::{AnswerForm, Arrival, CrashSpec, CrashingEndpoint, Poison},
+    crashing::{AnswerForm, Arrival, CrashPoint, CrashSpec, CrashingEndpoint, Outage, Poison},
     flawed::{Flaw, FlawedEndpoint},
     framed_answer::{AnswerEnd, AnswerFraming, FramedAnswer, signed_response},
     limited::LimitedEndpoint,
