Take an answer as begun only when it goes on after its first event

Cause: the first byte of an answer cleared the parts of its prompt and kept them out of the report of the crash, so that an endpoint that crashes while it writes its first event, or right after it, cleared what it crashed for. Change: of event streams only the second complete event, or the whole answer, clears the parts. Other bodies are cleared by their first byte as before.

--- a/crates/coord/src/control/crash_evidence.rs
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -57,8 +57,8 @@
     pub endpoint: EndpointName,
     pub generation: Generation,
     pub pool: PoolName,
-    /// The shared parts of its prompt in order, if no byte of the answer had arrived, and
-    /// the request itself.
+    /// The shared parts of its prompt in order, unless the answer had gone on after its
+    /// first event, and the request itself.
     #[serde(rename = "parts")]
     pub suspects: Vec<Suspect>,
     /// Tells requests with different prompts apart: the request with all parts of its
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -59,8 +59,8 @@
     /// Requests that ended at crashes of endpoints.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashReport>,
-    /// Suspects that were answered here: parts of prompts with the first byte of an
-    /// answer, requests with the whole answer.
+    /// Suspects that were answered here: parts of prompts with the second event of
+    /// an answer, requests with the whole answer.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub answered: Vec<SuspectKey>,
     /// The pools with suspects that have answered some request here.
--- a/crates/daemon/src/relay/crash_watch.rs
+++ b/crates/daemon/src/relay/crash_watch.rs
@@ -20,6 +20,10 @@
     tokio::{net::TcpStream, sync::watch, time::timeout},
 };
 
+/// The complete events after which the parts of a prompt crash nothing. An endpoint that
+/// crashes as it begins to answer may have written its first event or some bytes of it.
+const MIN_EVENTS: u64 = 2;
+
 /// Tells the core loop of crashes and answers.
 #[derive(Clone)]
 pub struct CrashWatch {
@@ -71,7 +75,7 @@
             whole: whole.clone(),
             prompt: request.prompt.clone(),
             began_at: Instant::now(),
-            has_bytes: false,
+            has_answer: false,
             events: 0,
         }
     }
@@ -87,7 +91,7 @@
             whole: whole.clone(),
             prompt: None,
             began_at: Instant::now(),
-            has_bytes: false,
+            has_answer: false,
             events: 0,
         }
     }
@@ -116,27 +120,32 @@
     /// All parts of the prompt, as the caller sent them.
     prompt: Option<HeaderValue>,
     began_at: Instant,
-    has_bytes: bool,
+    /// Whether so much of the answer has arrived that its parts crash nothing.
+    has_answer: bool,
     /// The number of complete events that have arrived.
     events: u64,
 }
 
 impl AttemptWatch {
-    /// Notes how many complete events have arrived.
-    pub fn note_events(&mut self, events: u64) {
-        self.events = events;
+    /// Notes that bytes of the answer have arrived, with the number of complete events so
+    /// far if it consists of events.
+    pub fn note_bytes(&mut self, events: Option<u64>) {
+        self.events = events.unwrap_or_default();
+        if events.is_none_or(|it| it >= MIN_EVENTS) {
+            self.note_answer();
+        }
     }
 
-    /// Notes that bytes of the answer have arrived: its parts crash nothing.
-    pub fn note_bytes(&mut self) {
-        if !std::mem::replace(&mut self.has_bytes, true) {
+    /// Notes that the parts of the prompt crash nothing.
+    fn note_answer(&mut self) {
+        if !std::mem::replace(&mut self.has_answer, true) {
             self.watch.report_answer(&self.pool, &self.parts);
         }
     }
 
     /// Notes that the answer is complete.
     pub fn close(mut self) {
-        self.note_bytes();
+        self.note_answer();
         self.watch.end_trial(&self.pool, &self.whole);
         self.watch.report_answer(&self.pool, &[self.whole]);
     }
@@ -159,7 +168,7 @@
             log::info!(
                 request = self.request.as_str(), endpoint = self.endpoint.name.as_str(),
                 generation:% = self.endpoint.generation, pool:% = self.pool, began = began,
-                ran_ms = ran.0, bytes = self.has_bytes, events = self.events, check:% = result,
+                ran_ms = ran.0, answered = self.has_answer, events = self.events, check:% = result,
                 parts = join_parts(&self.parts), digest:% = self.whole;
                 "{event}"
             );
@@ -168,7 +177,7 @@
             }
             let prompt = self.prompt.as_ref().map_or(&[][..], HeaderValue::as_bytes);
             let source = RequestDigest::of_fields(&[self.whole.to_string().as_bytes(), prompt]);
-            let parts = if self.has_bytes { Vec::new() } else { self.parts };
+            let parts = if self.has_answer { Vec::new() } else { self.parts };
             let report = CrashReport {
                 endpoint: self.endpoint.name,
                 generation: self.endpoint.generation,
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -5,6 +5,7 @@
         body_check::BodyCheck, crash_watch::AttemptWatch, record::RequestRecord,
         relay::InFlightGuard, rollouts::SendGuard, stream_recorder::StreamGuard, upstream::Lease,
     },
+    coord::relay::EventScanner,
     hyper::body::{Body, Bytes, Frame, Incoming, SizeHint},
     std::{
         error::Error,
@@ -67,19 +68,17 @@
     }
 
     fn add_data(&mut self, data: &Bytes) {
-        if let Some(it) = self.watch.as_mut().filter(|_| !data.is_empty()) {
-            it.note_bytes();
-        }
         if !data.is_empty() {
             self.send.answered();
         }
         self.check.push(data);
         self.record.add_bytes(data.len());
-        if let Some(it) = self.check.events() {
+        let events = self.check.events();
+        if let Some(it) = events {
             self.record.set_events(it.events(), it.is_partial());
-            if let Some(watch) = &mut self.watch {
-                watch.note_events(it.events());
-            }
+        }
+        if let Some(it) = self.watch.as_mut().filter(|_| !data.is_empty()) {
+            it.note_bytes(events.map(EventScanner::events));
         }
     }
 
--- a/crates/harness/tests/crashing_prompts.rs
+++ b/crates/harness/tests/crashing_prompts.rs
@@ -175,6 +175,11 @@
     check_kept_at_high_rate(CrashPoint::InFirstEvent, Outage::Refused, false);
 }
 
+#[test]
+fn a_part_that_crashes_endpoints_after_the_first_event_is_kept_from_them() {
+    check_kept_at_high_rate(CrashPoint::AfterFirstEvent, Outage::Refused, false);
+}
+
 #[test]
 fn a_part_that_crashes_endpoints_before_the_head_is_kept_from_them() {
     check_kept_at_high_rate(CrashPoint::BeforeHead, Outage::Refused, false);
--- a/crates/standin/src/crashing.rs
+++ b/crates/standin/src/crashing.rs
@@ -43,6 +43,7 @@
     AfterHead,
     /// After some bytes of the first event.
     InFirstEvent,
+    AfterFirstEvent,
 }
 
 /// What becomes of connections to an endpoint that is down. Those that it had end at the crash.
@@ -194,8 +195,10 @@
             let fails = poison || cut;
             if streams && !(fails && point == CrashPoint::BeforeHead) {
                 let mut begun = stream_head(&request);
-                if fails && point == CrashPoint::InFirstEvent {
-                    begun.extend_from_slice(STREAM_BEGIN);
+                match point {
+                    CrashPoint::InFirstEvent if fails => begun.extend_from_slice(STREAM_BEGIN),
+                    CrashPoint::AfterFirstEvent if fails => begun.extend(chunk(EVENT)),
+                    _ => {}
                 }
                 if stream.write_all(&begun).is_err() {
                     return;
@@ -259,9 +262,14 @@
 /// A chunk with the first line of an event.
 const STREAM_BEGIN: &[u8] = b"6\r\nid: 1\n\r\n";
 
+const EVENT: &str = "id: 1\ndata: one\n\n";
+
+fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
 fn stream_body() -> Vec<u8> {
-    let event = "id: 1\ndata: one\n\n";
-    format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()).into_bytes()
+    [chunk(EVENT), b"0\r\n\r\n".to_vec()].concat()
 }
 
 /// The answer to a call of the project's own interface: one piece.
