Tell requests with different prompts apart that have the same body

Callers saw: after endpoints had crashed under one prompt, all requests with the same caller, path and body were refused for ten minutes, though they differ in the prompt that their header states. Cause: the digest that stands for a whole request left that header out, so that three crashes under prompts with one part counted against all of them; with all endpoints down, no answer cleared it. Change: the digest has the prompt's header too, where there is one. Plain requests keep the digest of earlier builds. Repeats of a crashing request have the same prompt.

--- a/crates/daemon/src/relay/crash_watch.rs
+++ b/crates/daemon/src/relay/crash_watch.rs
@@ -8,14 +8,12 @@
         event::{Event, Inbox},
     },
     coord::{
-        claims::RequestDigest,
         control::CrashReport,
         ids::PoolName,
         relay::{Trials, entry_addrs},
         tables::{Endpoint, Suspect, SuspectKey, Suspects, Tables},
         time::{Millis, Time},
     },
-    hyper::header::HeaderValue,
     std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Instant},
     tokio::{net::TcpStream, sync::watch, time::timeout},
 };
@@ -73,7 +71,6 @@
             pool: request.pool.clone(),
             parts: request.parts.clone(),
             whole: whole.clone(),
-            prompt: request.prompt.clone(),
             began_at: Instant::now(),
             has_answer: false,
             events: 0,
@@ -89,7 +86,6 @@
             pool: endpoint.pool.clone(),
             parts: Vec::new(),
             whole: whole.clone(),
-            prompt: None,
             began_at: Instant::now(),
             has_answer: false,
             events: 0,
@@ -117,8 +113,6 @@
     pool: PoolName,
     parts: Vec<Suspect>,
     whole: Suspect,
-    /// All parts of the prompt, as the caller sent them.
-    prompt: Option<HeaderValue>,
     began_at: Instant,
     /// Whether so much of the answer has arrived that its parts crash nothing.
     has_answer: bool,
@@ -175,15 +169,13 @@
             if result != CheckResult::Refused {
                 return;
             }
-            let prompt = self.prompt.as_ref().map_or(&[][..], HeaderValue::as_bytes);
-            let source = RequestDigest::of_fields(&[self.whole.to_string().as_bytes(), prompt]);
             let parts = if self.has_answer { Vec::new() } else { self.parts };
             let report = CrashReport {
                 endpoint: self.endpoint.name,
                 generation: self.endpoint.generation,
                 pool: self.pool,
+                source: Some(self.whole.clone()),
                 suspects: parts.into_iter().chain([self.whole]).collect(),
-                source: Some(Suspect::Request(source)),
                 began,
                 ran,
                 age: Millis(0),
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -159,14 +159,18 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the digest of what an endpoint is sent of the request: by whom, where, and
-    /// the body. A request that comes again has the same.
+    /// Returns the digest of what an endpoint is sent of the request: by whom, where, the
+    /// prompt as its header states it, and the body. A request that comes again has the same.
     pub fn digest(&self, body: &[u8]) -> RequestDigest {
         let path = self.head.uri.path_and_query().map_or("/", |it| it.as_str());
         let team = self.team.as_ref().map_or("", |it| it.as_str());
-        let fields = [self.head.method.as_str(), host(&self.head), path, team];
-        let fields = fields.map(str::as_bytes);
-        RequestDigest::of_fields(&[fields[0], fields[1], fields[2], fields[3], body])
+        let prompt = self.prompt.as_ref().map(HeaderValue::as_bytes);
+        let [method, host, path, team] =
+            [self.head.method.as_str(), host(&self.head), path, team].map(str::as_bytes);
+        let fields = [method, host, path, team, body];
+        // Without a prompt it is that of earlier builds.
+        let fields: Vec<&[u8]> = fields.into_iter().chain(prompt).collect();
+        RequestDigest::of_fields(&fields)
     }
 
     /// Builds the request to another instance: the caller's own with the time that is left.
