Count crashes against parts of prompts whose answers hadn't begun

Callers saw: endpoints that crash before the head of their answer went on to crash under one part of prompts, and now and then more than three requests came too late. Cause: in a crash with any answer begun only that counted, so that each sound request beside the cause hid it; and crashes less than 0.2 s apart counted once, also if the request was sent after the one before. With all endpoints down before the fourth moment nothing was decided until they were back and crashed again. Change: a part is withheld at five moments at which it was present, or at four as the most likely cause, as before. A crash counts too if it is 50 ms later and its request was sent after the one before. Of several suspects that which explains most goes first, and waits until answers to it would have been reported (1.6 s from its first crash on); a part that follows it in prompts and was at the same crashes goes before it, as fewer requests are refused for it.

--- a/crates/coord/src/control/crash_evidence.rs
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -21,9 +21,15 @@
 /// Crashes closer together than this count once against a part of prompts: a rack or a
 /// domain that fails takes many endpoints at the same moment, with whatever they run.
 const MOMENT_GAP: Millis = Millis(200);
+/// The least time between two crashes that count against a part if the request at the
+/// later one was sent after the earlier one.
+const RESEND_GAP: Millis = Millis(50);
 /// The number of moments at which endpoints crashed under a part before it is withheld. A
 /// rarely used part may be hit twice or three times by crashes of other causes.
 const MIN_PART_CRASHES: usize = 4;
+/// The same, with moments at which others were more likely the cause, as their answers had
+/// begun.
+const MIN_PART_PRESENT: usize = 5;
 /// The number of endpoints that crashed one after the other under a request before it is
 /// withheld.
 const MIN_REQUEST_CRASHES: usize = 3;
@@ -36,6 +42,10 @@
 const TRIAL_LIFETIME: Millis = Millis(30_000);
 /// With as many, a request is withheld although another was at all the same crashes.
 const MIN_TIED_CRASHES: usize = 5;
+/// The least time from the first crash that counts against a part until it is withheld, so
+/// that instances have learned that it is suspected and have reported answers, however
+/// fast the crashes follow each other.
+const MIN_PART_TIME: Millis = Millis(SETTLE_TIME.0 + 3 * MOMENT_GAP.0);
 /// By how much a request may seem to have been sent before an earlier crash and still
 /// count as sent after it: the times are those of different instances.
 const ORDER_TOLERANCE: Millis = Millis(20);
@@ -103,8 +113,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectFigures {
     pub key: SuspectKey,
-    /// The number of crashes that count against it.
-    pub crashes: usize,
+    /// The number of crashes of which it is the most likely cause.
+    pub likely: usize,
+    /// The number of crashes that it was at.
+    pub present: usize,
     /// The first of them.
     pub first: Time,
     /// Nothing if it is to be withheld.
@@ -155,11 +167,10 @@
         }
     }
 
-    /// The requests whose parts may have caused it: those whose answer had begun, if there
-    /// are any.
-    fn part_candidates(&self) -> impl Iterator<Item = &LostRequest> {
-        let any_began = self.requests.iter().any(|it| it.began);
-        self.requests.iter().filter(move |it| it.began || !any_began)
+    /// Whether the parts of a request are the most likely cause: its answer had begun, or
+    /// that of none had.
+    fn is_likely(&self, request: &LostRequest) -> bool {
+        request.began || !self.requests.iter().any(|it| it.began)
     }
 
     fn contains(&self, suspect: &Suspect) -> bool {
@@ -167,15 +178,47 @@
     }
 }
 
-/// The crashes that speak against one suspect.
+/// Crashes that count against a suspect, by time.
 #[derive(Debug, Default)]
-struct Suspicion {
-    /// The crashes that count, by time.
-    crashes: Vec<Time>,
+struct Moments {
+    at: Vec<Time>,
     /// When this leader first heard of each of them.
     known_at: Vec<Time>,
-    /// The positions of the crashes that count, and of all that a request was at.
+}
+
+impl Moments {
+    fn push(&mut self, crash: &Crash) {
+        self.at.push(crash.at);
+        self.known_at.push(crash.known_at);
+    }
+
+    /// Counts a crash against a part of a request if it is independent of the last one.
+    fn push_apart(&mut self, crash: &Crash, sent: Time) {
+        let is_apart = |last: &Time| {
+            let gap = crash.at.since(*last);
+            gap >= MOMENT_GAP || gap >= RESEND_GAP && sent >= *last
+        };
+        if self.at.last().is_none_or(is_apart) {
+            self.push(crash);
+        }
+    }
+
+    /// When this leader had heard of `count` of them; `None` if there are fewer.
+    fn known(&self, count: usize) -> Option<Time> {
+        self.known_at.get(..count)?.iter().max().copied()
+    }
+}
+
+/// The crashes that speak against one suspect.
+#[derive(Debug, Default)]
+struct Suspicion {
+    /// Those of which it is the most likely cause.
+    likely: Moments,
+    /// Those, and of a part all moments at which it was in some request of a crash.
+    all: Moments,
+    /// The positions of the crashes that count against a request.
     counted: Vec<usize>,
+    /// The positions of all crashes that it was at.
     present: Vec<usize>,
     /// The greatest position among the suspects of a request. Later ones are shared by
     /// fewer requests.
@@ -270,8 +313,8 @@
         let is_recent = |at: &Time| self.refreshed_at.since(*at) < TRIAL_LIFETIME;
         let is_trial = |(key, it): &(&SuspectKey, &Suspicion)| {
             key.suspect.is_request()
-                && it.crashes.len() >= TRIAL_CRASHES
-                && it.crashes.last().is_some_and(is_recent)
+                && it.likely.at.len() >= TRIAL_CRASHES
+                && it.likely.at.last().is_some_and(is_recent)
         };
         self.suspicions.iter().filter(is_trial).map(|(key, _)| key.clone()).collect()
     }
@@ -281,28 +324,44 @@
         self.revision
     }
 
-    /// Returns what to withhold now, if there is something: that with the most crashes,
-    /// and of equals what fewer requests share.
+    /// Returns what to withhold now, if there is something: that with the most crashes, once
+    /// answers to it would have been reported, and of equals what fewer requests share. A part
+    /// that follows it in prompts, and is due by crashes that it was at too, goes first: fewer
+    /// requests are refused for it.
     pub fn suspect_to_withhold(&self, now: Time) -> Option<SuspectKey> {
-        let due = self.suspicions.iter().filter(|(key, it)| self.is_due(now, key, it));
-        due.max_by_key(|(_, it)| (it.crashes.len(), it.position)).map(|(key, _)| key.clone())
+        let wait = |key: &SuspectKey, it: &Suspicion| self.waits_for(now, key, it);
+        let rows = || self.suspicions.iter();
+        let rank = |it: &Suspicion| (it.weight(), it.position);
+        let is_outweighed = |(key, it): &(&SuspectKey, &Suspicion)| {
+            rows().any(|(other, more)| {
+                let waits = || wait(other, more) == Some(Wait::Reports);
+                other.pool == key.pool && rank(more) > rank(it) && waits()
+            })
+        };
+        let due = rows().filter(|(key, it)| wait(key, it).is_none());
+        let (worst, most) = due.filter(|it| !is_outweighed(it)).max_by_key(|(_, it)| rank(it))?;
+        let follows = |(key, it): &(&SuspectKey, &Suspicion)| {
+            let is_part = !key.suspect.is_request() && !worst.suspect.is_request();
+            is_part && key.pool == worst.pool && it.position > most.position && it.is_within(most)
+        };
+        let narrower = rows().filter(follows).filter(|(key, it)| wait(key, it).is_none());
+        let narrowest = narrower.max_by_key(|(_, it)| rank(it));
+        Some(narrowest.map_or(worst, |(key, _)| key).clone())
     }
 
     /// Returns what the evidence says of the suspects under which more than one endpoint
     /// crashed; those with the most crashes come first.
     pub fn figures(&self, now: Time) -> Vec<SuspectFigures> {
-        let rows = self.suspicions.iter().filter(|(_, it)| it.crashes.len() > 1);
-        rows.map(|(key, it)| SuspectFigures {
-            key: key.clone(),
-            crashes: it.crashes.len(),
-            first: it.crashes[0],
-            waits_for: self.waits_for(now, key, it),
-        })
-        .collect()
-    }
-
-    fn is_due(&self, now: Time, key: &SuspectKey, it: &Suspicion) -> bool {
-        self.waits_for(now, key, it).is_none()
+        let figures = |(key, it): (&SuspectKey, &Suspicion)| {
+            Some(SuspectFigures {
+                key: key.clone(),
+                likely: it.likely.at.len(),
+                present: it.present.len(),
+                first: *it.all.at.first()?,
+                waits_for: self.waits_for(now, key, it),
+            })
+        };
+        self.suspicions.iter().filter_map(figures).filter(|it| it.present > 1).collect()
     }
 
     /// Returns why a suspect isn't withheld yet. None is while its pool answers nothing,
@@ -310,13 +369,20 @@
     /// for.
     fn waits_for(&self, now: Time, key: &SuspectKey, it: &Suspicion) -> Option<Wait> {
         let is_request = key.suspect.is_request();
-        let needed = if is_request { MIN_REQUEST_CRASHES } else { MIN_PART_CRASHES };
-        let Some(known) = it.known_at.get(..needed).and_then(|it| it.iter().max()) else {
+        let known = match is_request {
+            true => it.likely.known(MIN_REQUEST_CRASHES),
+            false => {
+                let decisive = [it.likely.known(MIN_PART_CRASHES), it.all.known(MIN_PART_PRESENT)];
+                decisive.into_iter().flatten().min()
+            }
+        };
+        let (Some(known), Some(&first)) = (known, it.all.at.first()) else {
             return Some(Wait::Crashes);
         };
-        let is_settled = now.since(*known) >= SETTLE_TIME;
-        let answers = self.pool_answered.get(&key.pool).is_some_and(|at| *at > it.crashes[0]);
-        let span = it.crashes.last().map_or(Millis(0), |last| last.since(it.crashes[0]));
+        let is_settled =
+            now.since(known) >= SETTLE_TIME && (is_request || now.since(first) >= MIN_PART_TIME);
+        let answers = self.pool_answered.get(&key.pool).is_some_and(|at| *at > first);
+        let span = it.likely.at.last().map_or(Millis(0), |last| last.since(first));
         match is_request {
             true if span < MIN_REQUEST_SPAN => Some(Wait::Crashes),
             true if self.is_tied(key, it) => Some(Wait::Distinction),
@@ -335,7 +401,7 @@
             other.pool == key.pool && other.suspect.is_request() && *other != key
         });
         let explains = |it: &Suspicion| suspicion.counted.iter().all(|at| it.present.contains(at));
-        suspicion.crashes.len() < MIN_TIED_CRASHES && others.any(|(_, it)| explains(it))
+        suspicion.likely.at.len() < MIN_TIED_CRASHES && others.any(|(_, it)| explains(it))
     }
 
     /// Drops what no longer counts, and works out the suspects. `withheld` is what is
@@ -374,14 +440,14 @@
                 self.add_requests(&mut rows, position, crash);
             }
             if !known.iter().any(|it| !it.is_request()) {
-                self.add_parts(&mut rows, crash, &known);
+                self.add_parts(&mut rows, position, crash, &known);
             }
         }
-        rows.sort_by(|_, a, _, b| b.crashes.len().cmp(&a.crashes.len()));
+        rows.sort_by(|_, a, _, b| b.weight().cmp(&a.weight()));
         rows.truncate(MAX_SUSPECTS);
         for (key, row) in rows.iter_mut().filter(|(key, _)| key.suspect.is_request()) {
             let mut later =
-                self.crashes.iter().filter(|it| it.pool == key.pool && it.at >= row.crashes[0]);
+                self.crashes.iter().filter(|it| it.pool == key.pool && it.at >= row.likely.at[0]);
             row.explains_all = later.all(|it| it.contains(&key.suspect));
         }
         rows
@@ -403,27 +469,26 @@
             }
             let row = rows.entry(key).or_default();
             row.position = lost.suspects.len();
-            if row.present.last() != Some(&position) {
-                row.present.push(position);
-            }
-            let last = row.crashes.last();
+            row.note_present(position);
+            let last = row.likely.at.last();
             if last.is_none_or(|it| crash.at > *it && lost.sent + ORDER_TOLERANCE >= *it) {
-                row.crashes.push(crash.at);
-                row.known_at.push(crash.known_at);
+                row.likely.push(crash);
+                row.all.push(crash);
                 row.counted.push(position);
             }
         }
     }
 
-    /// Counts a crash against the parts of its requests. If requests that are withheld were
+    /// Counts the crash at a position against the parts of its requests. If requests that are withheld were
     /// among these, it counts against their parts only, which may be what they crash it for.
     fn add_parts(
         &self,
         rows: &mut IndexMap<SuspectKey, Suspicion>,
+        at: usize,
         crash: &Crash,
         withheld: &[&Suspect],
     ) {
-        for lost in crash.part_candidates() {
+        for lost in &crash.requests {
             let is_known = lost.request().is_some_and(|it| withheld.contains(&it));
             if !withheld.is_empty() && !is_known {
                 continue;
@@ -437,10 +502,10 @@
                 let row = rows.entry(key).or_default();
                 row.position = row.position.max(position);
                 row.add_source(lost.source.as_ref());
-                let last = row.crashes.last();
-                if last.is_none_or(|it| crash.at.since(*it) >= MOMENT_GAP) {
-                    row.crashes.push(crash.at);
-                    row.known_at.push(crash.known_at);
+                row.note_present(at);
+                row.all.push_apart(crash, lost.sent);
+                if crash.is_likely(lost) {
+                    row.likely.push_apart(crash, lost.sent);
                 }
             }
         }
@@ -453,6 +518,23 @@
 }
 
 impl Suspicion {
+    /// The number of moments that it explains, and of those of which it is the most likely
+    /// cause.
+    fn weight(&self) -> (usize, usize) {
+        (self.all.at.len(), self.likely.at.len())
+    }
+
+    fn note_present(&mut self, position: usize) {
+        if self.present.last() != Some(&position) {
+            self.present.push(position);
+        }
+    }
+
+    /// Whether it was at no crash that another wasn't at.
+    fn is_within(&self, other: &Self) -> bool {
+        self.present.iter().all(|it| other.present.contains(it))
+    }
+
     /// Notes a request that has the part.
     fn add_source(&mut self, source: Option<&Suspect>) {
         match (source, &self.source) {
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -489,8 +489,8 @@
         }
         for it in voter.suspect_figures(now).iter().take(MAX_SUSPECT_LINES) {
             log::info!(
-                pool:% = it.key.pool, suspect:% = it.key.suspect, crashes = it.crashes,
-                first_ms = now.since(it.first).0,
+                pool:% = it.key.pool, suspect:% = it.key.suspect, likely = it.likely,
+                present = it.present, first_ms = now.since(it.first).0,
                 waits_for = it.waits_for.map_or_else(String::new, |it| it.to_string());
                 "[lease] evidence against a suspect of crashes"
             );
