Know crashed endpoints by their silence, not by refused connections alone

Callers saw: endpoints behind an address that still accepts connections went on to crash under one request or one part of prompts, long after the third or fifth crash. Cause: an attempt that broke off counted as a crash only if the address refused connections 50 ms later. A proxy or a supervisor that holds the listener, or a process that hangs, hid each crash, and no line said so. Besides, all crashes of one start of an endpoint counted as one, also if it was up in between and hadn't announced itself yet. Change: the endpoint is asked for its health on a new connection, one check for all attempts that end at the same time, and within its limits. It is presumed to have crashed if that is closed or not answered within 1 s, and the instance has heard nothing of it since; an answer of any kind says that it lives. At the leader an announcement of the same start refutes the crash, for which 2 s are waited; what is sent to an endpoint that is down is no suspect; a crash is another one if the endpoint was heard of in between, or had the request a second or more after the last. Endpoints that don't answer are avoided.

--- a/crates/coord/src/control/crash_evidence.rs
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -49,6 +49,18 @@
 /// By how much a request may seem to have been sent before an earlier crash and still
 /// count as sent after it: the times are those of different instances.
 const ORDER_TOLERANCE: Millis = Millis(20);
+/// The least time in which a crashed endpoint is up again.
+const RESTART_TIME: Millis = Millis(1000);
+/// By how much the times of a crash may differ that instances report.
+const REPORT_SKEW: Millis = Millis(100);
+/// How long after a crash an announcement of the endpoint may still arrive that was sent
+/// before it.
+const ANNOUNCE_MARGIN: Millis = Millis(500);
+/// How long announcements that would refute a presumed crash are waited for after it, and
+/// after the leader has heard of it: endpoints announce themselves about once a second, and
+/// an instance tells the leader with its next renewal.
+const REFUTE_TIME: Millis = Millis(2000);
+const ANNOUNCE_TIME: Millis = Millis(1200);
 /// How long answers are waited for after the leader has heard of the decisive crashes:
 /// instances learn of suspects and report answers within two renewals.
 const SETTLE_TIME: Millis = Millis(1000);
@@ -83,6 +95,10 @@
     /// How long before the renewal was sent the connection ended.
     #[serde(default)]
     pub age: Millis,
+    /// Whether the address still accepted connections, but nothing answered there. An
+    /// announcement of the same start of the endpoint refutes the crash.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub presumed: bool,
 }
 
 /// Why a suspect isn't withheld yet.
@@ -146,6 +162,10 @@
     endpoint: EndpointName,
     generation: Generation,
     pool: PoolName,
+    /// Whether all reports of it presume it.
+    presumed: bool,
+    /// When this start of the endpoint was heard of again.
+    alive_at: Option<Time>,
     requests: Vec<LostRequest>,
 }
 
@@ -173,6 +193,27 @@
         request.began || !self.requests.iter().any(|it| it.began)
     }
 
+    /// Whether the endpoint was up again before it crashed as reported, under the same start.
+    fn is_before(&self, at: Time, report: &CrashReport, sent: Time) -> bool {
+        let reached = report.began || !report.presumed;
+        let is_heard = self.alive_at.is_some_and(|it| at > it);
+        is_heard || reached && sent >= self.at + RESTART_TIME
+    }
+
+    /// Since when answers, and announcements that refute it, would have been reported.
+    fn settled_at(&self) -> Time {
+        let settled = self.known_at + SETTLE_TIME;
+        match self.presumed {
+            true => settled.max(self.at + REFUTE_TIME).max(self.known_at + ANNOUNCE_TIME),
+            false => settled,
+        }
+    }
+
+    /// Whether the endpoint lives on.
+    fn is_refuted(&self) -> bool {
+        self.presumed && self.alive_at.is_some()
+    }
+
     fn contains(&self, suspect: &Suspect) -> bool {
         self.requests.iter().any(|it| it.suspects.contains(suspect))
     }
@@ -182,14 +223,14 @@
 #[derive(Debug, Default)]
 struct Moments {
     at: Vec<Time>,
-    /// When this leader first heard of each of them.
-    known_at: Vec<Time>,
+    /// Since when what speaks against counting each of them would have been reported.
+    settled_at: Vec<Time>,
 }
 
 impl Moments {
     fn push(&mut self, crash: &Crash) {
         self.at.push(crash.at);
-        self.known_at.push(crash.known_at);
+        self.settled_at.push(crash.settled_at());
     }
 
     /// Counts a crash against a part of a request if it is independent of the last one.
@@ -203,9 +244,9 @@
         }
     }
 
-    /// When this leader had heard of `count` of them; `None` if there are fewer.
-    fn known(&self, count: usize) -> Option<Time> {
-        self.known_at.get(..count)?.iter().max().copied()
+    /// Since when `count` of them are settled; `None` if there are fewer.
+    fn settled(&self, count: usize) -> Option<Time> {
+        self.settled_at.get(..count)?.iter().max().copied()
     }
 }
 
@@ -262,12 +303,17 @@
             sent: Time(at.0.saturating_sub(report.ran.0)),
         };
         self.has_news = true;
-        let known = self
-            .crashes
-            .iter_mut()
-            .find(|it| it.endpoint == report.endpoint && it.generation == report.generation);
+        let known = self.crashes.iter_mut().rev().find(|it| {
+            it.endpoint == report.endpoint
+                && it.generation == report.generation
+                && !it.is_before(at, report, request.sent)
+        });
         if let Some(crash) = known {
-            crash.add(request);
+            // What is sent to an endpoint that is down didn't crash it.
+            if !(report.presumed && request.sent > crash.at + REPORT_SKEW) {
+                crash.presumed &= report.presumed;
+                crash.add(request);
+            }
             return;
         }
         let place = self.crashes.partition_point(|it| it.at <= at);
@@ -277,6 +323,8 @@
             endpoint: report.endpoint.clone(),
             generation: report.generation,
             pool: report.pool.clone(),
+            presumed: report.presumed,
+            alive_at: None,
             requests: vec![request],
         };
         self.crashes.insert(place, crash);
@@ -285,6 +333,17 @@
         }
     }
 
+    /// Records that an endpoint has announced one of its starts.
+    pub fn record_announcement(&mut self, now: Time, name: &EndpointName, generation: Generation) {
+        let of_start = |it: &&mut Crash| it.endpoint == *name && it.generation == generation;
+        for it in self.crashes.iter_mut().filter(of_start) {
+            if it.alive_at.is_none() && now.since(it.at) >= ANNOUNCE_MARGIN {
+                it.alive_at = Some(now);
+                self.has_news |= it.presumed;
+            }
+        }
+    }
+
     /// Records that a request with a suspect is answered.
     pub fn record_answer(&mut self, now: Time, key: &SuspectKey) {
         self.record_pool_answer(now, &key.pool);
@@ -369,18 +428,18 @@
     /// for.
     fn waits_for(&self, now: Time, key: &SuspectKey, it: &Suspicion) -> Option<Wait> {
         let is_request = key.suspect.is_request();
-        let known = match is_request {
-            true => it.likely.known(MIN_REQUEST_CRASHES),
+        let settled = match is_request {
+            true => it.likely.settled(MIN_REQUEST_CRASHES),
             false => {
-                let decisive = [it.likely.known(MIN_PART_CRASHES), it.all.known(MIN_PART_PRESENT)];
+                let decisive =
+                    [it.likely.settled(MIN_PART_CRASHES), it.all.settled(MIN_PART_PRESENT)];
                 decisive.into_iter().flatten().min()
             }
         };
-        let (Some(known), Some(&first)) = (known, it.all.at.first()) else {
+        let (Some(settled), Some(&first)) = (settled, it.all.at.first()) else {
             return Some(Wait::Crashes);
         };
-        let is_settled =
-            now.since(known) >= SETTLE_TIME && (is_request || now.since(first) >= MIN_PART_TIME);
+        let is_settled = now >= settled && (is_request || now.since(first) >= MIN_PART_TIME);
         let answers = self.pool_answered.get(&key.pool).is_some_and(|at| *at > first);
         let span = it.likely.at.last().map_or(Millis(0), |last| last.since(first));
         match is_request {
@@ -430,7 +489,8 @@
 
     fn find_suspicions(&self, withheld: &IndexSet<SuspectKey>) -> IndexMap<SuspectKey, Suspicion> {
         let mut rows: IndexMap<SuspectKey, Suspicion> = IndexMap::new();
-        for (position, crash) in self.crashes.iter().enumerate() {
+        let crashes = self.crashes.iter().enumerate().filter(|(_, it)| !it.is_refuted());
+        for (position, crash) in crashes {
             let known: Vec<&Suspect> = withheld
                 .iter()
                 .filter(|it| it.pool == crash.pool && crash.contains(&it.suspect))
@@ -446,8 +506,10 @@
         rows.sort_by(|_, a, _, b| b.weight().cmp(&a.weight()));
         rows.truncate(MAX_SUSPECTS);
         for (key, row) in rows.iter_mut().filter(|(key, _)| key.suspect.is_request()) {
-            let mut later =
-                self.crashes.iter().filter(|it| it.pool == key.pool && it.at >= row.likely.at[0]);
+            let mut later = self
+                .crashes
+                .iter()
+                .filter(|it| it.pool == key.pool && it.at >= row.likely.at[0] && !it.is_refuted());
             row.explains_all = later.all(|it| it.contains(&key.suspect));
         }
         rows
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -78,6 +78,7 @@
         for it in &request.reports {
             self.endpoints.record_report(it, now);
             self.limits.record_announcement(now, &it.endpoint, it.generation);
+            self.crashes.record_announcement(now, &it.endpoint, it.generation);
         }
         for (name, generation) in &request.healthy {
             self.endpoints.record_success(name, *generation);
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -49,6 +49,7 @@
         began,
         ran: Millis(0),
         age: Millis(0),
+        presumed: false,
     }
 }
 
@@ -195,6 +196,73 @@
     assert_eq!(suspect_to_withhold(&mut evidence, Time(2700), &none()), Some(key(POISON)));
 }
 
+#[test]
+fn crashes_of_an_endpoint_that_is_not_announced_in_between_count_each() {
+    let mut evidence = CrashEvidence::default();
+    for number in 1..=4 {
+        let it = CrashReport { ran: Millis(50), ..report(1, &["first", POISON], true) };
+        evidence.record_crash(Time(2000 * number), &it);
+        evidence.record_answer(Time(2000 * number + 400), &key("first"));
+    }
+
+    assert_eq!(suspect_to_withhold(&mut evidence, Time(9100), &none()), Some(key(POISON)));
+}
+
+/// A report of a request that broke off where connections are still accepted.
+fn presumed(incarnation: u64, parts: &[&str], began: bool) -> CrashReport {
+    CrashReport { presumed: true, ran: Millis(50), ..report(incarnation, parts, began) }
+}
+
+#[test]
+fn presumed_crashes_count_unless_the_endpoint_announces_itself() {
+    let find = |announced: u64| {
+        let mut evidence = CrashEvidence::default();
+        for number in 1..=4 {
+            let at = Time(1000 * number);
+            let it = presumed(number, &["first", POISON], true);
+            evidence.record_crash(at, &it);
+            evidence.record_answer(at + Millis(100), &key("first"));
+            if number <= announced {
+                evidence.record_announcement(at + Millis(900), &it.endpoint, it.generation);
+            }
+        }
+        suspect_to_withhold(&mut evidence, Time(6100), &none())
+    };
+
+    assert_eq!(find(0), Some(key(POISON)));
+    assert_eq!(find(1), None, "one of them lives on");
+}
+
+#[test]
+fn requests_sent_to_an_endpoint_that_is_presumed_down_are_no_suspects() {
+    let mut evidence = CrashEvidence::default();
+    for number in 1..=5 {
+        let at = Time(3000 * number);
+        evidence.record_crash(at, &presumed(number, &["first", POISON], true));
+        evidence.record_crash(at + Millis(400), &presumed(number, &["other", "sound"], false));
+        evidence.record_answer(at + Millis(100), &key("first"));
+    }
+
+    evidence.tick(Time(18_000), &none());
+
+    assert!(!evidence.suspects().contains(&key("sound")));
+    assert_eq!(evidence.suspect_to_withhold(Time(18_000)), Some(key(POISON)));
+}
+
+#[test]
+fn streams_cut_off_by_an_endpoint_that_lives_on_count_each_time_as_no_crash() {
+    let mut evidence = CrashEvidence::default();
+    for number in 1..=8 {
+        let at = Time(1500 * number);
+        let it = presumed(1, &["first", "sound"], true);
+        evidence.record_crash(at, &it);
+        evidence.record_pool_answer(at + Millis(100), &key("first").pool);
+        evidence.record_announcement(at + Millis(700), &it.endpoint, it.generation);
+    }
+
+    assert_eq!(suspect_to_withhold(&mut evidence, Time(14_500), &none()), None);
+}
+
 /// When the poison part crashes an endpoint of a simulated pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PoisonForm {
--- a/crates/daemon/src/endpoints/call.rs
+++ b/crates/daemon/src/endpoints/call.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         answer_notices::{LEAVING_HEADER, LIMIT_HEADER, read_limit, read_notices},
-        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, CheckResult},
+        crash_check::{CHECK_DELAY, check_blocking},
         event::{Event, Inbox},
     },
     coord::{
@@ -17,7 +17,7 @@
     hyper::header::HeaderName,
     std::{
         io::{BufRead, BufReader, ErrorKind, Read},
-        net::{SocketAddr, TcpStream},
+        net::SocketAddr,
         thread,
         time::{Duration, Instant},
     },
@@ -96,25 +96,24 @@
 }
 
 impl WatchedCall {
-    /// Reports a crash if nothing listens any more at the endpoint's address.
+    /// Reports a crash if the endpoint answers nothing on another connection.
     fn report_crash(self, inbox: &Inbox) {
         let at = Instant::now();
         thread::sleep(CHECK_DELAY);
-        let connected = TcpStream::connect_timeout(&self.addr, CHECK_TIMEOUT);
-        let result = CheckResult::of_connection(Some(&connected));
+        let result = check_blocking(self.addr, "/");
         result.count();
         let suspect = self.origin.suspect();
         let ran = Millis(at.duration_since(self.sent).as_millis() as u64);
-        let event = match result {
-            CheckResult::Refused => "[endpoints] an endpoint crashed under a call",
-            _ => "[endpoints] a call broke off at an endpoint that isn't known to have crashed",
+        let event = match result.is_crash() {
+            true => "[endpoints] an endpoint crashed under a call",
+            false => "[endpoints] a call broke off at an endpoint that isn't known to have crashed",
         };
         log::info!(
             endpoint:% = self.endpoint, generation:% = self.generation, pool:% = self.pool,
             ran_ms = ran.0, check:% = result, digest:% = suspect;
             "{event}"
         );
-        if result != CheckResult::Refused {
+        if !result.is_crash() {
             return;
         }
         let report = CrashReport {
@@ -126,6 +125,7 @@
             began: false,
             ran,
             age: Millis(0),
+            presumed: result.is_presumed(),
         };
         inbox.offer(Event::EndpointCrashed { report, at });
     }
--- a/crates/daemon/src/relay/crash_watch.rs
+++ b/crates/daemon/src/relay/crash_watch.rs
@@ -2,11 +2,12 @@
 //! of it.
 
 use {
-    super::{record::join_parts, request::RelayRequest},
-    crate::{
-        crash_check::{CHECK_DELAY, CHECK_TIMEOUT, CheckResult},
-        event::{Event, Inbox},
+    super::{
+        endpoint_checks::{EndpointChecks, LastHeard},
+        record::join_parts,
+        request::RelayRequest,
     },
+    crate::event::{Event, Inbox},
     coord::{
         control::CrashReport,
         ids::PoolName,
@@ -15,7 +16,7 @@
         time::{Millis, Time},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Instant},
-    tokio::{net::TcpStream, sync::watch, time::timeout},
+    tokio::sync::watch,
 };
 
 /// The complete events after which the parts of a prompt crash nothing. An endpoint that
@@ -28,13 +29,19 @@
     inbox: Inbox,
     suspects: watch::Receiver<Arc<Suspects>>,
     trials: Rc<RefCell<Trials>>,
+    checks: Rc<EndpointChecks>,
 }
 
 impl CrashWatch {
     /// Creates a watch that reports to `inbox` and follows the list of suspects. `peer` is
     /// the address at which peers reach this instance.
-    pub fn new(inbox: Inbox, suspects: watch::Receiver<Arc<Suspects>>, peer: SocketAddr) -> Self {
-        Self { inbox, suspects, trials: Rc::new(RefCell::new(Trials::new(peer))) }
+    pub fn new(
+        inbox: Inbox,
+        suspects: watch::Receiver<Arc<Suspects>>,
+        checks: Rc<EndpointChecks>,
+        peer: SocketAddr,
+    ) -> Self {
+        Self { inbox, suspects, trials: Rc::new(RefCell::new(Trials::new(peer))), checks }
     }
 
     /// Whether a request is suspected.
@@ -66,6 +73,7 @@
     ) -> AttemptWatch {
         AttemptWatch {
             watch: self.clone(),
+            heard: self.checks.heard_of(&endpoint.name),
             request: request.id.clone(),
             endpoint: endpoint.clone(),
             pool: request.pool.clone(),
@@ -81,6 +89,7 @@
     pub fn call(&self, request: &str, whole: &Suspect, endpoint: &Endpoint) -> AttemptWatch {
         AttemptWatch {
             watch: self.clone(),
+            heard: self.checks.heard_of(&endpoint.name),
             request: request.to_owned(),
             endpoint: endpoint.clone(),
             pool: endpoint.pool.clone(),
@@ -108,6 +117,7 @@
 /// Watches one attempt of a request at an endpoint.
 pub struct AttemptWatch {
     watch: CrashWatch,
+    heard: LastHeard,
     request: String,
     endpoint: Endpoint,
     pool: PoolName,
@@ -124,12 +134,18 @@
     /// Notes that bytes of the answer have arrived, with the number of complete events so
     /// far if it consists of events.
     pub fn note_bytes(&mut self, events: Option<u64>) {
+        self.note_heard();
         self.events = events.unwrap_or_default();
         if events.is_none_or(|it| it >= MIN_EVENTS) {
             self.note_answer();
         }
     }
 
+    /// Notes that the endpoint has answered, as with the head of an answer.
+    pub fn note_heard(&self) {
+        self.heard.set(Some(Instant::now()));
+    }
+
     /// Notes that the parts of the prompt crash nothing.
     fn note_answer(&mut self) {
         if !std::mem::replace(&mut self.has_answer, true) {
@@ -139,25 +155,25 @@
 
     /// Notes that the answer is complete.
     pub fn close(mut self) {
+        self.note_heard();
         self.note_answer();
         self.watch.end_trial(&self.pool, &self.whole);
         self.watch.report_answer(&self.pool, &[self.whole]);
     }
 
     /// Reports the attempt if its endpoint has crashed under it: its connection ended
-    /// before the whole answer, and no other can be made. `began` says whether the head of
-    /// the answer had arrived.
+    /// before the whole answer, and the endpoint answers nothing on another. `began` says
+    /// whether the head of the answer had arrived.
     pub fn broke_off(self, began: bool) {
         let at = Instant::now();
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(CHECK_DELAY).await;
-            let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(self.endpoint.addr)).await;
-            let result = CheckResult::of_connection(connected.as_ref().ok());
-            result.count();
+            let result = self.watch.checks.check(&self.endpoint, &self.heard).await;
             let ran = Millis(at.duration_since(self.began_at).as_millis() as u64);
-            let event = match result {
-                CheckResult::Refused => "[relay] an endpoint crashed under a request",
-                _ => "[relay] a request broke off at an endpoint that isn't known to have crashed",
+            let event = match result.is_crash() {
+                true => "[relay] an endpoint crashed under a request",
+                false => {
+                    "[relay] a request broke off at an endpoint that isn't known to have crashed"
+                }
             };
             log::info!(
                 request = self.request.as_str(), endpoint = self.endpoint.name.as_str(),
@@ -166,7 +182,7 @@
                 parts = join_parts(&self.parts), digest:% = self.whole;
                 "{event}"
             );
-            if result != CheckResult::Refused {
+            if !result.is_crash() {
                 return;
             }
             let parts = if self.has_answer { Vec::new() } else { self.parts };
@@ -179,6 +195,7 @@
                 began,
                 ran,
                 age: Millis(0),
+                presumed: result.is_presumed(),
             };
             self.watch.inbox.offer(Event::EndpointCrashed { report, at });
         });
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -275,6 +275,7 @@
             }
             Ok(Ok(it)) => it,
         };
+        watch.note_heard();
         let is_stream = response.status().is_success() && self.request.route.retry.is_stream();
         let mut check = BodyCheck::new(&response, is_stream);
         self.record.set_framing(check.framing());
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod crash_watch;
 mod dialect;
 mod drain_state;
+mod endpoint_checks;
 mod forward;
 mod framing;
 mod front;
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -4,9 +4,10 @@
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
         batcher::Batchers, batcher_clients::BatcherClients, clock::time_since,
-        crash_watch::CrashWatch, hand_over_mark::hand_over_mark, notices::Notices,
-        placement::LoadGuard, reach_watch::ReachWatch, record::SeriesLabels, request::RelayRequest,
-        rollouts::Rollouts, stream_recorder::StreamRecorder, upstream::Upstream, view::View,
+        crash_watch::CrashWatch, endpoint_checks::EndpointChecks, hand_over_mark::hand_over_mark,
+        notices::Notices, placement::LoadGuard, reach_watch::ReachWatch, record::SeriesLabels,
+        request::RelayRequest, rollouts::Rollouts, stream_recorder::StreamRecorder,
+        upstream::Upstream, view::View,
     },
     crate::{event::Inbox, memory::Memory, rollout_handle::RolloutHandle},
     coord::{
@@ -167,7 +168,9 @@
         let upstream =
             Rc::new(Upstream::new(notices.clone(), reach.clone(), memory.descriptors.clone()));
         let streams = StreamRecorder::start(inbox.clone(), mixed, start);
-        let crashes = CrashWatch::new(inbox, suspects, peer);
+        let placer = Rc::new(RefCell::new(Placer::new(rand::random())));
+        let checks = EndpointChecks::new(tables.clone(), notices.clone(), placer.clone());
+        let crashes = CrashWatch::new(inbox, suspects, checks, peer);
         let relay = Rc::new(Self {
             batchers: Batchers::new(
                 settings.dialect.clone(),
@@ -191,7 +194,7 @@
             batcher_clients: BatcherClients::new(secret),
             series: Rc::default(),
             peer,
-            placer: Rc::new(RefCell::new(Placer::new(rand::random()))),
+            placer,
             counted: Rc::default(),
             load,
             view: RefCell::new(Rc::new(View::new(tables.borrow_and_update().clone()))),
--- a/crates/harness/tests/crashing_prompts.rs
+++ b/crates/harness/tests/crashing_prompts.rs
@@ -200,6 +200,16 @@
     check_kept_at_high_rate(CrashPoint::AfterHead, Outage::Hanging, false);
 }
 
+#[test]
+fn a_part_that_crashes_before_the_head_is_kept_from_endpoints_whose_addresses_close_connections() {
+    check_kept_at_high_rate(CrashPoint::BeforeHead, Outage::Closed, false);
+}
+
+#[test]
+fn a_part_that_crashes_before_the_head_is_kept_from_endpoints_whose_connections_hang() {
+    check_kept_at_high_rate(CrashPoint::BeforeHead, Outage::Hanging, false);
+}
+
 /// Crashes endpoints in turn while sound requests run, and checks that they are served.
 fn check_crashes_of_other_causes(outage: Outage) {
     let system = start_pool(MORE_ENDPOINTS, &CrashSpec { outage, ..spec() });
--- a/crates/harness/tests/crashing_requests.rs
+++ b/crates/harness/tests/crashing_requests.rs
@@ -97,6 +97,29 @@
     check_kept(&system, &sound);
 }
 
+/// Runs a request that crashes a small pool, whose endpoints are then down in the way of
+/// `outage`.
+fn check_kept_from_small_pool(outage: Outage) {
+    let spec = CrashSpec { outage, ..spec(AnswerForm::Plain) };
+    let system = System::start(3, &spec, relay_route(RetryPolicy::Idempotent), &sound(0));
+
+    let sound = run_beside(&system, Duration::from_secs(14), sound, |stop| {
+        system.send(poison, POISON_INTERVAL, stop);
+    });
+
+    check_kept(&system, &sound);
+}
+
+#[test]
+fn a_request_is_kept_from_endpoints_whose_addresses_close_connections_while_they_are_down() {
+    check_kept_from_small_pool(Outage::Closed);
+}
+
+#[test]
+fn a_request_is_kept_from_endpoints_whose_addresses_let_connections_hang_while_they_are_down() {
+    check_kept_from_small_pool(Outage::Hanging);
+}
+
 #[test]
 fn a_request_that_crashes_endpoints_after_its_answers_heads_is_kept_from_them() {
     let route = relay_route(RetryPolicy::ResumableStream);
