Take bytes read soon after the end of a connection for no sign of life

Found in reading, no caller has seen it: an instance that hears of an endpoint after it broke off a request doesn't presume a crash, but bytes that were sent before the crash may be read after the end of the first connection.

--- a/crates/daemon/src/relay/endpoint_checks.rs
+++ b/crates/daemon/src/relay/endpoint_checks.rs
@@ -64,10 +64,9 @@
         let ended = Instant::now();
         let shared = self.pending.borrow_mut().entry(endpoint.name.clone()).or_default().clone();
         let result = *shared.get_or_init(|| self.run(endpoint)).await;
-        match heard.get() {
-            Some(at) if at > ended && result.is_presumed() => CheckResult::Alive,
-            _ => result,
-        }
+        // What was sent before a crash may be read after the end of the first connection.
+        let is_heard = heard.get().is_some_and(|at| at > ended + CHECK_DELAY);
+        if is_heard && result.is_presumed() { CheckResult::Alive } else { result }
     }
 
     async fn run(&self, endpoint: &Endpoint) -> CheckResult {
