--- a/crates/harness/tests/endless.rs
+++ b/crates/harness/tests/endless.rs
@@ -33,6 +33,8 @@
 /// Where an endpoint begins to send bytes without end.
 #[derive(Debug, Clone, Copy)]
 enum Endless {
+    /// Without the beginning of a head, or a line's end.
+    Bytes,
     Head,
     Body,
     Chunks,
@@ -44,6 +46,7 @@
         let answer = |headers: &str| signed_response(seen, "200 OK", headers, "");
         let block = vec![b'x'; 64 << 10];
         match self {
+            Self::Bytes => vec![Step::SendForever(block)],
             Self::Head => {
                 let line = [b"x-more: ", &block[..1 << 10], b"\r\n"].concat();
                 vec![Step::Send(b"HTTP/1.1 200 OK\r\n".to_vec()), Step::SendForever(line)]
@@ -80,7 +83,7 @@
         }));
     let retry = match endless {
         Endless::Stream => RetryPolicy::Stream,
-        Endless::Head | Endless::Body | Endless::Chunks => RetryPolicy::Once,
+        Endless::Bytes | Endless::Head | Endless::Body | Endless::Chunks => RetryPolicy::Once,
     };
     let catalog = relay_catalog(relay_route(retry));
     let posted = cluster.operator().post::<serde_json::Value>("/v1/catalog", &catalog);
@@ -140,7 +143,8 @@
 
 #[test]
 fn endless_answers_neither_fill_the_memory_nor_count_as_complete() {
-    for endless in [Endless::Head, Endless::Body, Endless::Chunks, Endless::Stream] {
+    let all = [Endless::Bytes, Endless::Head, Endless::Body, Endless::Chunks, Endless::Stream];
+    for endless in all {
         let (whole, peak) = flood(endless);
 
         assert_eq!(whole, 0, "{endless:?}");
