--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -8,7 +8,7 @@
         crash_watch::AttemptWatch,
         front::{RETRY_AFTER_STOPPING, RETRY_AFTER_WITHHELD},
         hand_over::HandOver,
-        record::{RequestRecord, join_parts},
+        record::{RequestRecord, join_parts, log_withheld},
         relay::Relay,
         request::RelayRequest,
         response::{
@@ -100,7 +100,9 @@
                 return self.deny_stopping();
             }
             let suspects = self.request.parts.iter().chain([&self.whole]);
-            if self.relay.view().is_withheld(&self.request.pool, suspects) {
+            let view = self.relay.view();
+            if let Some(it) = view.withheld_for(&self.request.pool, suspects) {
+                log_withheld(&self.request.id, &self.request.pool, it);
                 return match attempts.may_have_run() {
                     true => self.deny(Denial::Unknown),
                     false => self.deny_withheld(),
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -6,7 +6,7 @@
         forward::{Forward, RETRY_AFTER_TRIAL},
         hand_over::{HandOver, RETRY_AFTER_CUT},
         hand_over_mark::{HANDED_OVER, is_handed_over},
-        record::RequestRecord,
+        record::{RequestRecord, log_withheld},
         relay::Relay,
         request::RelayRequest,
         response::{
@@ -360,7 +360,8 @@
     let whole = Suspect::Request(request.digest(&body));
     let view = relay.view();
     let pools = request.route.stages.iter().map(|it| &it.pool).chain([&request.pool]);
-    if pools.into_iter().any(|it| view.is_withheld(it, [&whole])) {
+    if let Some(pool) = pools.into_iter().find(|it| view.withheld_for(it, [&whole]).is_some()) {
+        log_withheld(&request.id, pool, &whole);
         return Err((Denial::Withheld, Some(RETRY_AFTER_WITHHELD)));
     }
     let mut stage_pools = request.route.stages.iter().map(|it| &it.pool);
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -3,7 +3,7 @@
 use {
     super::{drain_state::RequestGuard, framing::Framing, request::RelayRequest},
     crate::telemetry::SeriesBound,
-    coord::tables::Suspect,
+    coord::{ids::PoolName, tables::Suspect},
     metrics::{counter, histogram},
     std::{cell::RefCell, fmt::Display, rc::Rc, time::Instant},
 };
@@ -143,6 +143,14 @@
     }
 }
 
+/// Logs for what a request is refused that crashes endpoints.
+pub fn log_withheld(request: &str, pool: &PoolName, suspect: &Suspect) {
+    log::info!(
+        request = request, pool:% = pool, suspect:% = suspect;
+        "[relay] request is withheld"
+    );
+}
+
 /// Joins the ids of prompt parts for a log line.
 pub fn join_parts(parts: &[Suspect]) -> String {
     parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
--- a/crates/daemon/src/relay/request.rs
+++ b/crates/daemon/src/relay/request.rs
@@ -5,6 +5,7 @@
     super::{
         Handle, HeaderNames,
         hand_over_mark::HANDED_OVER,
+        record::log_withheld,
         response::{Denial, is_hop_by_hop},
         view::View,
     },
@@ -113,7 +114,8 @@
         let piece_counts = piece_counts(&head, names, &route)?;
         let pool = route.pick(rand::random()).ok_or(Denial::NoRoute)?.clone();
         let parts = shared_parts(&head, names);
-        if view.is_withheld(&pool, &parts) {
+        if let Some(it) = view.withheld_for(&pool, &parts) {
+            log_withheld(&id, &pool, it);
             return Err(Denial::Withheld);
         }
         let affinity = route.sticky.then(|| affinity(&head, names)).flatten();
--- a/crates/daemon/src/relay/view.rs
+++ b/crates/daemon/src/relay/view.rs
@@ -70,15 +70,16 @@
         self.keys.get(key)
     }
 
-    /// Whether requests to a pool with one of these properties are withheld.
-    pub fn is_withheld<'a>(
+    /// Returns that of these properties for which requests to a pool are withheld, if any.
+    pub fn withheld_for<'a>(
         &self,
         pool: &PoolName,
         suspects: impl IntoIterator<Item = &'a Suspect>,
-    ) -> bool {
+    ) -> Option<&'a Suspect> {
         let withheld = &self.tables.withheld;
         let key = |suspect: &Suspect| SuspectKey { pool: pool.clone(), suspect: suspect.clone() };
-        !withheld.is_empty() && suspects.into_iter().any(|it| withheld.contains(&key(it)))
+        let is_withheld = |it: &&Suspect| !withheld.is_empty() && withheld.contains(&key(it));
+        suspects.into_iter().find(is_withheld)
     }
 
     /// Returns the endpoints of a pool that accept new work.
