--- a/crates/harness/tests/crashing_requests.rs
+++ b/crates/harness/tests/crashing_requests.rs
@@ -151,8 +151,18 @@
 
 #[test]
 fn a_request_of_our_own_interface_that_crashes_endpoints_is_kept_from_them() {
+    check_kept_by_own_interface(Outage::Refused);
+}
+
+#[test]
+fn a_request_of_our_own_interface_is_kept_from_endpoints_whose_addresses_close_connections() {
+    check_kept_by_own_interface(Outage::Closed);
+}
+
+fn check_kept_by_own_interface(outage: Outage) {
     let route = relay_route(RetryPolicy::Idempotent);
-    let system = System::start(3, &spec(AnswerForm::Plain), route, &sound(0));
+    let spec = CrashSpec { outage, ..spec(AnswerForm::Plain) };
+    let system = System::start(3, &spec, route, &sound(0));
     let stage = Stage {
         name: "s".parse().expect("a name"),
         pool: "app".parse().expect("a name"),
@@ -201,6 +211,15 @@
 
 #[test]
 fn a_request_whose_pieces_crash_the_endpoints_of_a_stage_is_kept_from_them() {
+    check_kept_from_stage(Outage::Refused);
+}
+
+#[test]
+fn a_request_whose_pieces_crash_endpoints_is_kept_from_them_if_their_addresses_close_connections() {
+    check_kept_from_stage(Outage::Closed);
+}
+
+fn check_kept_from_stage(outage: Outage) {
     let mut route = relay_route(RetryPolicy::Idempotent);
     route.stages = vec![RelayStage {
         pool: "stage".parse().expect("a name"),
@@ -211,7 +230,8 @@
         relay_request(&id, &format!("mangobend-source: {source}\r\n"), source)
     };
     let sound = |it: usize| request(format!("sound-{it}"), &format!("order-{it}"));
-    let system = System::start_with_stage(2, 3, &spec(AnswerForm::Plain), route, &sound(0));
+    let spec = CrashSpec { outage, ..spec(AnswerForm::Plain) };
+    let system = System::start_with_stage(2, 3, &spec, route, &sound(0));
 
     let outcomes = run_beside(&system, Duration::from_secs(16), sound, |stop| {
         let poison = |it: usize| request(format!("poison-{it}"), POISON);
