Call no pieces again of requests that may crash endpoints

Cause: only the number of tries ended the repeats; the list of suspects wasn't asked. Change: a piece of a suspected request whose call may have run fails its request instead of being queued again. Pieces of other requests in the call are called again as before.

--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -307,8 +307,10 @@
             waiting = self.with_batcher(&shard, |batcher| batcher.queue.len()).unwrap_or_default();
             "[relay] pieces called"
         );
-        let result_ttl = self
-            .with_batcher(&shard, |batcher| batcher.finish_call(now, &call, &pieces, answer, send));
+        let is_suspect = |whole: &Suspect| self.crashes.is_suspect(&shard.pool, whole);
+        let result_ttl = self.with_batcher(&shard, |batcher| {
+            batcher.finish_call(now, &call, &pieces, answer, send, is_suspect)
+        });
         if let Some(result_ttl) = result_ttl {
             self.dispatch(&shard);
             sleep(Duration::from_millis(result_ttl.0)).await;
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -280,7 +280,8 @@
         }
     }
 
-    /// Records the end of a call and requeues or fails pieces without a result.
+    /// Records the end of a call and requeues or fails pieces without a result; those of
+    /// requests that may crash endpoints (`is_suspect`) aren't called at another.
     /// Returns how long the endpoint keeps the results.
     pub fn finish_call(
         &mut self,
@@ -289,6 +290,7 @@
         pieces: &[QueuedPiece],
         answer: Result<Vec<PieceResult>, CallError>,
         send: Option<SendGuard>,
+        is_suspect: impl Fn(&Suspect) -> bool,
     ) -> Millis {
         let send = send.filter(SendGuard::may_be_old).map(Rc::new);
         let outcome = match &answer {
@@ -314,7 +316,8 @@
             Err(err) => {
                 let cost = u32::from(!err.has_not_run());
                 for (piece, queued) in call.pieces.iter().zip(pieces) {
-                    self.requeue(piece.id, queued, cost);
+                    let may_crash = cost > 0 && queued.origin().1.is_some_and(&is_suspect);
+                    self.requeue(piece.id, queued, if may_crash { MAX_TRIES } else { cost });
                 }
             }
         }
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -7,7 +7,7 @@
         catalog::{Catalog, RetryPolicy},
         ids::{Bytes, CatalogVersion},
         relay::Shard,
-        tables::{Endpoint, EndpointState, Tables},
+        tables::{Endpoint, EndpointState, Suspect, SuspectKey, Suspects, Tables},
         time::Millis,
     },
     daemon::relay::{BatcherEvent, DrainPhase, PieceError, PieceInput, StageReply, StageRequest},
@@ -489,15 +489,27 @@
 /// Starts a relay with enough members that pools are split into shards, and a
 /// stage's endpoint in domain `d`.
 fn split_relay(pieces: SocketAddr) -> Fixture {
+    split_relay_of(&[pieces])
+}
+
+fn split_relay_of(pieces: &[SocketAddr]) -> Fixture {
     let mut staged = route(RetryPolicy::Stream);
     staged.stages = vec![stage(&[])];
-    let near = Endpoint { domain: "d".parse().expect("a name"), ..endpoint("s", "stage", pieces) };
+    let near = |(number, addr): (usize, &SocketAddr)| Endpoint {
+        domain: "d".parse().expect("a name"),
+        ..endpoint(&format!("s{number}"), "stage", *addr)
+    };
+    let near: Vec<_> = pieces.iter().enumerate().map(near).collect();
     let others: Vec<_> = (2..40).map(|it| member(it, if it < 20 { "d" } else { "f" })).collect();
-    start_with_members(&others, catalog(staged), &[near])
+    start_with_members(&others, catalog(staged), &near)
 }
 
 /// Submits a stage request for one piece in domain `d` to the relay's batcher.
 fn submit_piece(relay: &Fixture) -> oneshot::Receiver<StageReply> {
+    submit_piece_of(relay, None)
+}
+
+fn submit_piece_of(relay: &Fixture, whole: Option<Suspect>) -> oneshot::Receiver<StageReply> {
     let shard = Shard {
         pool: "stage".parse().expect("a name"),
         domain: Some("d".parse().expect("a name")),
@@ -506,7 +518,7 @@
         id: 1,
         shard,
         request_id: "r".to_owned(),
-        whole: None,
+        whole,
         repeated: false,
         stage: 0,
         count: 1,
@@ -537,6 +549,25 @@
     assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
 }
 
+#[test]
+fn a_piece_of_a_request_that_may_crash_endpoints_is_not_called_again() {
+    let backends: Vec<_> = (0..8).map(|_| scripted(|_, _| vec![Step::Close])).collect();
+    let addrs: Vec<_> = backends.iter().map(|it| it.addr).collect();
+    let relay = split_relay_of(&addrs);
+    let calls = || backends.iter().map(|it| it.received().len()).sum::<usize>();
+    let whole: Suspect = "#1f".parse().expect("a digest");
+    let key = SuspectKey { pool: "stage".parse().expect("a name"), suspect: whole.clone() };
+    let all = [key].into_iter().collect();
+    relay.suspects.send_replace(Arc::new(Suspects { all, ..Suspects::default() }));
+
+    let reply = submit_piece_of(&relay, Some(whole)).blocking_recv().expect("a reply");
+    let suspected = calls();
+    let other = submit_piece(&relay).blocking_recv().expect("a reply");
+
+    assert_eq!((reply.answer, suspected), (Err(PieceError::Failed), 1));
+    assert_eq!((other.answer, calls() - suspected), (Err(PieceError::Failed), 3));
+}
+
 /// The reply to a stage request whose endpoint answers like this.
 fn reply_to_piece(text: &'static str, framing: AnswerFraming, end: AnswerEnd) -> StageReply {
     let media = "application/json";
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -10,7 +10,7 @@
         load::SharedLoad,
         memory::MemoryUse,
         streams::StreamOrigin,
-        tables::{Endpoint, Member, Tables},
+        tables::{Endpoint, Member, Suspects, Tables},
     },
     daemon::{
         event::{Event, Inbox},
@@ -53,6 +53,8 @@
     pub start: Instant,
     /// What the core says that taken-up streams came from.
     pub origin: Arc<Mutex<Option<StreamOrigin>>>,
+    /// What endpoints have crashed under, as the leader would tell.
+    pub suspects: watch::Sender<Arc<Suspects>>,
     /// Sends requests to the batchers as a peer would.
     pub batcher_events: UnboundedSender<BatcherEvent>,
 }
@@ -109,6 +111,7 @@
     let (batcher_events, received) = unbounded_channel();
     let origin: Arc<Mutex<Option<StreamOrigin>>> = Arc::default();
     let (events, core) = sync_channel(16);
+    let (suspects, followed_suspects) = watch::channel(Arc::default());
     let known = origin.clone();
     thread::spawn(move || {
         for event in core {
@@ -130,7 +133,7 @@
                 batcher_events: received,
                 drain: shared,
                 inbox: Inbox::new(events),
-                suspects: watch::channel(Arc::default()).1,
+                suspects: followed_suspects,
                 mixed: watch::channel(Arc::default()).1,
                 cut: watch::channel(Arc::default()).1,
                 gate: SharedGate::default(),
@@ -143,7 +146,7 @@
             serve(relay, listener, None).await;
         });
     });
-    Fixture { addr, drain, tables, rollouts, start, origin, batcher_events }
+    Fixture { addr, drain, tables, rollouts, start, origin, suspects, batcher_events }
 }
 
 /// Starts an endpoint that responds to each request with a body.
