Take a late end of a connection for no second crash, and split the evidence

Found at the last reading, no caller has seen it: once a start of an endpoint had announced itself after its crash, as a delayed announcement does, an instance that noticed the end of its connection later reported what counted as another crash, against sound requests too. It is another one only if the request was sent after the first, unless that was presumed only. Crashes (crash.rs) and what is logged of suspects (suspect_figures.rs) stand apart from the decision now; comments are wrapped.

--- a/crates/coord/src/control/crash_evidence.rs
+++ b/crates/coord/src/control/crash_evidence.rs
@@ -6,14 +6,17 @@
 //! what makes crashes independent of each other, and in how many are needed.
 
 use {
+    super::{
+        CrashReport, SuspectFigures, Wait,
+        crash::{Crash, SETTLE_TIME},
+    },
     crate::{
         ids::{EndpointName, Generation, PoolName},
         tables::{Suspect, SuspectKey},
         time::{Millis, Time},
     },
     indexmap::{IndexMap, IndexSet},
-    serde::{Deserialize, Serialize},
-    std::{collections::VecDeque, fmt},
+    std::collections::VecDeque,
 };
 
 /// How long crashes count.
@@ -49,176 +52,14 @@
 /// By how much a request may seem to have been sent before an earlier crash and still
 /// count as sent after it: the times are those of different instances.
 const ORDER_TOLERANCE: Millis = Millis(20);
-/// The least time in which a crashed endpoint is up again.
-const RESTART_TIME: Millis = Millis(1000);
-/// By how much the times of a crash may differ that instances report.
-const REPORT_SKEW: Millis = Millis(100);
-/// How long after a crash an announcement of the endpoint may still arrive that was sent
-/// before it.
-const ANNOUNCE_MARGIN: Millis = Millis(500);
-/// How long announcements that would refute a presumed crash are waited for after it, and
-/// after the leader has heard of it: endpoints announce themselves about once a second, and
-/// an instance tells the leader with its next renewal.
-const REFUTE_TIME: Millis = Millis(2000);
-const ANNOUNCE_TIME: Millis = Millis(1200);
-/// How long answers are waited for after the leader has heard of the decisive crashes:
-/// instances learn of suspects and report answers within two renewals.
-const SETTLE_TIME: Millis = Millis(1000);
-/// The maximum number of crashes that are remembered, and of requests of one of them.
+/// The maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 64;
-const MAX_REQUESTS: usize = 64;
 /// The maximum number of suspects that instances are told.
 const MAX_SUSPECTS: usize = 32;
 /// How often the suspects are worked out anew without news, and with.
 const REFRESH_INTERVAL: Millis = Millis(1000);
 const MIN_REFRESH_INTERVAL: Millis = Millis(100);
 
-/// A request that ended at an endpoint's crash, without its whole answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    pub endpoint: EndpointName,
-    pub generation: Generation,
-    pub pool: PoolName,
-    /// The shared parts of its prompt in order, unless the answer had gone on after its
-    /// first event, and the request itself.
-    #[serde(rename = "parts")]
-    pub suspects: Vec<Suspect>,
-    /// Tells requests with different prompts apart: the request with all parts of its
-    /// prompt. Earlier builds don't report it.
-    #[serde(default)]
-    pub source: Option<Suspect>,
-    /// Whether the endpoint had begun to answer: the head had arrived.
-    pub began: bool,
-    /// How long the request had been at the endpoint.
-    #[serde(default)]
-    pub ran: Millis,
-    /// How long before the renewal was sent the connection ended.
-    #[serde(default)]
-    pub age: Millis,
-    /// Whether the address still accepted connections, but nothing answered there. An
-    /// announcement of the same start of the endpoint refutes the crash.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub presumed: bool,
-}
-
-/// Why a suspect isn't withheld yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Wait {
-    /// Too few endpoints have crashed under it, or in too short a time.
-    Crashes,
-    /// Instances may still report that it was answered.
-    Reports,
-    /// The pool has answered nothing since the first crash.
-    PoolAnswers,
-    /// Another request was at the same crashes, or no other request has the part.
-    Distinction,
-}
-
-impl fmt::Display for Wait {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Crashes => "crashes",
-            Self::Reports => "reports",
-            Self::PoolAnswers => "pool_answers",
-            Self::Distinction => "distinction",
-        })
-    }
-}
-
-/// What the evidence says of one suspect.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SuspectFigures {
-    pub key: SuspectKey,
-    /// The number of crashes of which it is the most likely cause.
-    pub likely: usize,
-    /// The number of crashes that it was at.
-    pub present: usize,
-    /// The first of them.
-    pub first: Time,
-    /// Nothing if it is to be withheld.
-    pub waits_for: Option<Wait>,
-}
-
-/// A request at a crash.
-#[derive(Debug)]
-struct LostRequest {
-    suspects: Vec<Suspect>,
-    source: Option<Suspect>,
-    began: bool,
-    sent: Time,
-}
-
-impl LostRequest {
-    fn request(&self) -> Option<&Suspect> {
-        self.suspects.iter().find(|it| it.is_request())
-    }
-}
-
-#[derive(Debug)]
-struct Crash {
-    at: Time,
-    /// When this leader first heard of it. A new one is told of crashes of long ago.
-    known_at: Time,
-    endpoint: EndpointName,
-    generation: Generation,
-    pool: PoolName,
-    /// Whether all reports of it presume it.
-    presumed: bool,
-    /// When this start of the endpoint was heard of again.
-    alive_at: Option<Time>,
-    requests: Vec<LostRequest>,
-}
-
-impl Crash {
-    /// Adds a request. Of copies of one that which was sent last counts.
-    fn add(&mut self, request: LostRequest) {
-        let is_same = |it: &LostRequest| {
-            it.suspects == request.suspects
-                && it.source == request.source
-                && it.began == request.began
-        };
-        match self.requests.iter().position(is_same) {
-            Some(at) => {
-                let known = &mut self.requests[at];
-                known.sent = known.sent.max(request.sent);
-            }
-            None if self.requests.len() < MAX_REQUESTS => self.requests.push(request),
-            None => {}
-        }
-    }
-
-    /// Whether the parts of a request are the most likely cause: its answer had begun, or
-    /// that of none had.
-    fn is_likely(&self, request: &LostRequest) -> bool {
-        request.began || !self.requests.iter().any(|it| it.began)
-    }
-
-    /// Whether the endpoint was up again before it crashed as reported, under the same start.
-    fn is_before(&self, at: Time, report: &CrashReport, sent: Time) -> bool {
-        let reached = report.began || !report.presumed;
-        let is_heard = self.alive_at.is_some_and(|it| at > it);
-        is_heard || reached && sent >= self.at + RESTART_TIME
-    }
-
-    /// Since when answers, and announcements that refute it, would have been reported.
-    fn settled_at(&self) -> Time {
-        let settled = self.known_at + SETTLE_TIME;
-        match self.presumed {
-            true => settled.max(self.at + REFUTE_TIME).max(self.known_at + ANNOUNCE_TIME),
-            false => settled,
-        }
-    }
-
-    /// Whether the endpoint lives on.
-    fn is_refuted(&self) -> bool {
-        self.presumed && self.alive_at.is_some()
-    }
-
-    fn contains(&self, suspect: &Suspect) -> bool {
-        self.requests.iter().any(|it| it.suspects.contains(suspect))
-    }
-}
-
 /// Crashes that count against a suspect, by time.
 #[derive(Debug, Default)]
 struct Moments {
@@ -295,39 +136,16 @@
         if report.suspects.is_empty() {
             return;
         }
-        let at = Time(now.0.saturating_sub(report.age.0));
-        let request = LostRequest {
-            suspects: report.suspects.clone(),
-            source: report.source.clone(),
-            began: report.began,
-            sent: Time(at.0.saturating_sub(report.ran.0)),
-        };
         self.has_news = true;
-        let known = self.crashes.iter_mut().rev().find(|it| {
-            it.endpoint == report.endpoint
-                && it.generation == report.generation
-                && !it.is_before(at, report, request.sent)
-        });
-        if let Some(crash) = known {
-            // What is sent to an endpoint that is down didn't crash it.
-            if !(report.presumed && request.sent > crash.at + REPORT_SKEW) {
-                crash.presumed &= report.presumed;
-                crash.add(request);
-            }
+        let mut new = Crash::new(now, report);
+        let request = &new.requests[0];
+        let known = self.crashes.iter_mut().rev().find(|it| it.is_same(&new, request));
+        if let Some(known) = known {
+            new.requests.drain(..).for_each(|it| known.add_report(report.presumed, it));
             return;
         }
-        let place = self.crashes.partition_point(|it| it.at <= at);
-        let crash = Crash {
-            at,
-            known_at: now,
-            endpoint: report.endpoint.clone(),
-            generation: report.generation,
-            pool: report.pool.clone(),
-            presumed: report.presumed,
-            alive_at: None,
-            requests: vec![request],
-        };
-        self.crashes.insert(place, crash);
+        let place = self.crashes.partition_point(|it| it.at <= new.at);
+        self.crashes.insert(place, new);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.pop_front();
         }
@@ -335,12 +153,8 @@
 
     /// Records that an endpoint has announced one of its starts.
     pub fn record_announcement(&mut self, now: Time, name: &EndpointName, generation: Generation) {
-        let of_start = |it: &&mut Crash| it.endpoint == *name && it.generation == generation;
-        for it in self.crashes.iter_mut().filter(of_start) {
-            if it.alive_at.is_none() && now.since(it.at) >= ANNOUNCE_MARGIN {
-                it.alive_at = Some(now);
-                self.has_news |= it.presumed;
-            }
+        for it in &mut self.crashes {
+            self.has_news |= it.note_announced(now, name, generation);
         }
     }
 
@@ -541,8 +355,9 @@
         }
     }
 
-    /// Counts the crash at a position against the parts of its requests. If requests that are withheld were
-    /// among these, it counts against their parts only, which may be what they crash it for.
+    /// Counts the crash at a position against the parts of its requests. If requests that are
+    /// withheld were among these, it counts against their parts only, which may be what they
+    /// crash it for.
     fn add_parts(
         &self,
         rows: &mut IndexMap<SuspectKey, Suspicion>,
--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! copy of it. The leader grants leases and endpoint shares. Every instance
 //! renews its lease with the leader and routes by its own copy of the tables.
 
+mod crash;
 mod crash_evidence;
 mod cut_table;
 mod deregistrations;
@@ -19,12 +20,14 @@
 mod rollout_duties;
 mod shares;
 mod status;
+mod suspect_figures;
 mod teams;
 mod update_stats;
 mod voter;
 
 pub use {
-    crash_evidence::{CRASH_WINDOW, CrashEvidence, CrashReport, SuspectFigures, Wait},
+    crash::CrashReport,
+    crash_evidence::{CRASH_WINDOW, CrashEvidence},
     cut_table::CutTable,
     deregistrations::{Departure, DeregistrationStep, Deregistrations},
     endpoints::EndpointTable,
@@ -41,6 +44,7 @@
     rollout_duties::{RolloutDuties, RolloutEvent},
     shares::{EndpointCapacity, ShareHolder, ShareTable},
     status::{EndpointStatus, MemberStatus, Status},
+    suspect_figures::{SuspectFigures, Wait},
     teams::TeamTable,
     update_stats::{UpdateCounts, UpdateStats},
     voter::{Completion, ProposalError, Token, Voter},
--- a/crates/coord/tests/crash_evidence.rs
+++ b/crates/coord/tests/crash_evidence.rs
@@ -208,6 +208,23 @@
     assert_eq!(suspect_to_withhold(&mut evidence, Time(9100), &none()), Some(key(POISON)));
 }
 
+#[test]
+fn a_late_announcement_makes_no_second_crash_of_one() {
+    let mut evidence = CrashEvidence::default();
+    for number in 1..=2 {
+        let at = Time(4000 * number);
+        let it = report(number, &["first", "sound"], true);
+        evidence.record_crash(at, &it);
+        evidence.record_announcement(at + Millis(600), &it.endpoint, it.generation);
+        // Another instance notices the end of its connection two seconds later.
+        let late = CrashReport { ran: Millis(3000), ..it };
+        evidence.record_crash(at + Millis(2000), &late);
+        evidence.record_pool_answer(at + Millis(100), &key("first").pool);
+    }
+
+    assert_eq!(suspect_to_withhold(&mut evidence, Time(12_000), &none()), None, "two crashes");
+}
+
 /// A report of a request that broke off where connections are still accepted.
 fn presumed(incarnation: u64, parts: &[&str], began: bool) -> CrashReport {
     CrashReport { presumed: true, ran: Millis(50), ..report(incarnation, parts, began) }
