--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -7,7 +7,7 @@
 mod http;
 mod late_beat;
 mod machines;
-mod many_pieces;
+mod paused_reader;
 mod record;
 mod replica;
 mod slow_reader;
@@ -41,10 +41,10 @@
         std::process::exit(2);
     });
     let verdict = match case.as_str() {
+        "paused-reader" => paused_reader::run(&record, trouble),
         "slow-reader" => slow_reader::run(&record, trouble),
         "frozen-edge" => frozen_edge::run(&record, trouble),
         "late-beat" => late_beat::run(&record, trouble),
-        "many-pieces" => many_pieces::run(&record, trouble),
         _ => Verdict::CouldNotRun,
     };
     let (text, code) = match verdict {
