--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -7,10 +7,12 @@
 mod http;
 mod late_beat;
 mod machines;
+mod many_pieces;
 mod paused_reader;
 mod record;
 mod replica;
 mod slow_reader;
+mod versions;
 
 use record::Record;
 use std::time::Duration;
@@ -42,6 +44,8 @@
     });
     let verdict = match case.as_str() {
         "paused-reader" => paused_reader::run(&record, trouble),
+        "many-pieces" => many_pieces::run(&record, trouble),
+        "versions" => versions::run(&record, trouble),
         "slow-reader" => slow_reader::run(&record, trouble),
         "frozen-edge" => frozen_edge::run(&record, trouble),
         "late-beat" => late_beat::run(&record, trouble),
--- a/review/rig-2/src/replica.rs
+++ b/review/rig-2/src/replica.rs
@@ -3,7 +3,7 @@
 use crate::http::{exchange, post_text, read_body, read_head, Head};
 use std::{
     io::{BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
@@ -29,7 +29,15 @@
     pub zone: String,
     pub addr: SocketAddr,
     pub slots: u32,
-    pub born: u64,
+    /// The software version, which a restart may change.
+    pub version: Mutex<&'static str>,
+    pub born: AtomicU64,
+    /// The connections that are open, for a crash.
+    open: Mutex<Vec<TcpStream>>,
+    /// Whether it is down for good.
+    down: AtomicBool,
+    /// Whether what stands before it takes connections and closes them, as it is down itself.
+    closes: AtomicBool,
     pub seq: AtomicU64,
     /// Until when it is cold, in Unix milliseconds.
     pub cold_until: AtomicU64,
@@ -51,7 +59,11 @@
             zone: zone.to_owned(),
             addr,
             slots,
-            born: unix_ms(),
+            version: Mutex::new("v1"),
+            born: AtomicU64::new(unix_ms()),
+            open: Mutex::default(),
+            down: AtomicBool::new(false),
+            closes: AtomicBool::new(false),
             seq: AtomicU64::new(0),
             cold_until: AtomicU64::new(0),
             draining: AtomicBool::new(false),
@@ -60,6 +72,34 @@
         })
     }
 
+    /// Ends all connections, and what runs on them.
+    pub fn drop_connections(&self) {
+        for it in self.open.lock().expect("the connections").drain(..) {
+            let _ = it.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Is down for a time, in which connections are taken and closed, and starts again under the
+    /// same name as another version.
+    pub fn start_again(&self, version: &'static str, down: Duration) {
+        self.closes.store(true, Ordering::Relaxed);
+        self.drop_connections();
+        thread::sleep(down);
+        self.closes.store(false, Ordering::Relaxed);
+        *self.version.lock().expect("the version") = version;
+        self.born.store(unix_ms(), Ordering::Relaxed);
+        self.seq.store(0, Ordering::Relaxed);
+    }
+
+    /// Goes down; connections are refused from then on.
+    pub fn go_down(&self) {
+        self.beats.store(false, Ordering::Relaxed);
+        self.down.store(true, Ordering::Relaxed);
+        // Wakes the listener.
+        let _ = TcpStream::connect(self.addr);
+        self.drop_connections();
+    }
+
     pub fn cold_remaining(&self) -> u64 {
         self.cold_until.load(Ordering::Relaxed).saturating_sub(unix_ms())
     }
@@ -68,10 +108,12 @@
     pub fn beat(&self) -> (u64, String) {
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
-        let Self { service, addr, zone, slots, born, .. } = self;
+        let Self { service, addr, zone, slots, .. } = self;
+        let born = self.born.load(Ordering::Relaxed);
+        let version = *self.version.lock().expect("the version");
         let cold = self.cold_remaining();
         let body = format!(
-            r#"{{"Service":"{service}","Address":"{addr}","Zone":"{zone}","Version":"v1","Slots":{slots},"State":"{state}","ColdRemainingMs":{cold},"Phase":"both","Models":[{{"Name":"m","Version":1,"Adapters":[]}}],"Seq":{seq},"born":{born}}}"#
+            r#"{{"Service":"{service}","Address":"{addr}","Zone":"{zone}","Version":"{version}","Slots":{slots},"State":"{state}","ColdRemainingMs":{cold},"Phase":"both","Models":[{{"Name":"m","Version":1,"Adapters":[]}}],"Seq":{seq},"born":{born}}}"#
         );
         (seq, post_text(&format!("/api/Instances.Heartbeat/{}", self.name), &body))
     }
@@ -93,6 +135,12 @@
         let replica = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if replica.down.load(Ordering::Relaxed) {
+                    return;
+                }
+                if replica.closes.load(Ordering::Relaxed) {
+                    continue;
+                }
                 let (replica, handler) = (replica.clone(), handler.clone());
                 thread::spawn(move || replica.serve(stream, &handler));
             }
@@ -109,6 +157,9 @@
     fn serve(&self, stream: TcpStream, handler: &Handler) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else { return };
+        if let Ok(it) = stream.try_clone() {
+            self.open.lock().expect("the connections").push(it);
+        }
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
             let (body, whole) = read_body(&mut reader, &head);
