--- a/review/rig-2/src/frozen_edge.rs
+++ b/review/rig-2/src/frozen_edge.rs
@@ -99,10 +99,9 @@
             }
         });
         record.line(&format!("{} clients keep a connection to edge 0 open", open.len()));
-        cold.beats.store(false, Ordering::Relaxed);
         thread::sleep(Duration::from_millis(1300));
         if trouble {
-            machines.signal(edge, "-STOP");
+            machines.signal(edge, crate::machines::SIGSTOP);
             record.line(&format!("edge 0 stands still for {FROZEN_MS} ms"));
         }
         let began = Instant::now();
@@ -127,11 +126,10 @@
         ));
         thread::sleep(Duration::from_millis(FROZEN_MS).saturating_sub(began.elapsed()));
         if trouble {
-            machines.signal(edge, "-CONT");
+            machines.signal(edge, crate::machines::SIGCONT);
             record.line("edge 0 goes on");
         }
         thread::sleep(Duration::from_millis(1200));
-        cold.beats.store(true, Ordering::Relaxed);
         late.into_iter().for_each(|it| drop(it.join()));
         thread::sleep(Duration::from_millis(4000));
     }
@@ -155,6 +153,14 @@
         "up to {most} requests were sent and reached the cold replica in one second, that before \
          {end:.3} s; the bound is {bound}"
     ));
+    let mut rows: Vec<(&String, f64, f64)> =
+        arrived.iter().filter_map(|(id, at)| Some((id, *sent.get(id)?, *at))).collect();
+    rows.sort_by(|a, b| a.2.total_cmp(&b.2));
+    rows.iter().for_each(|(id, sent, at)| {
+        record.line(&format!(
+            "request {id}: sent {sent:.3} s, reached and run by the cold replica {at:.3} s"
+        ));
+    });
     match both.is_empty() {
         true => Verdict::CouldNotRun,
         false if most as f64 > bound => Verdict::Broken,
@@ -190,6 +196,7 @@
     let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
     sent.lock().unwrap().insert(id.to_owned(), record.seconds());
     if stream.write_all(request.as_bytes()).is_ok() {
-        let _ = read_answer(&mut BufReader::new(stream));
+        let status = read_answer(&mut BufReader::new(stream)).map(|it| it.status);
+        record.line(&format!("request {id} is answered {status:?}"));
     }
 }
--- a/review/rig-2/src/late_beat.rs
+++ b/review/rig-2/src/late_beat.rs
@@ -8,6 +8,7 @@
     Verdict,
 };
 use std::{
+    collections::HashMap,
     io::{BufReader, Write},
     net::{SocketAddr, TcpStream},
     sync::{
@@ -35,11 +36,17 @@
             Replica::new(&format!("i-kook-{n}"), "kook", zone, machines.stand_in(n), 64)
         })
         .collect();
-    let arrivals: Arc<Mutex<Vec<(u8, f64, u64)>>> = Arc::default();
+    let sent: Arc<Mutex<HashMap<String, f64>>> = Arc::default();
+    let arrivals: Arc<Mutex<Vec<(u8, f64, u64, String)>>> = Arc::default();
     for (n, replica) in replicas.iter().enumerate() {
         let (me, record, arrivals) = (replica.clone(), record.clone(), arrivals.clone());
         let handler = Arc::new(move |request: &crate::replica::Request, out: &mut TcpStream| {
-            arrivals.lock().unwrap().push((n as u8, record.seconds(), me.cold_remaining()));
+            arrivals.lock().unwrap().push((
+                n as u8,
+                record.seconds(),
+                me.cold_remaining(),
+                request.id.clone(),
+            ));
             let events: String = (1..=3).map(|it| format!("id: {it}\ndata: words\n\n")).collect();
             thread::sleep(Duration::from_millis(20));
             let text = format!(
@@ -64,7 +71,8 @@
     let clients: Vec<_> = (0..12)
         .map(|n| {
             let (to, going, counts) = (machines.frontend(n % 6), going.clone(), counts.clone());
-            thread::spawn(move || ask(to, n, &going, &counts))
+            let (record, sent) = (record.clone(), sent.clone());
+            thread::spawn(move || ask(&record, to, n, &going, &counts, &sent))
         })
         .collect();
     thread::sleep(Duration::from_millis(2500));
@@ -78,9 +86,10 @@
 
     // From here on its beats are sent in this order.
     cold.beats.store(false, Ordering::Relaxed);
-    thread::sleep(Duration::from_millis(1300));
+    cold.send_beat(&controls);
+    thread::sleep(Duration::from_millis(1200));
     let (seq, early) = cold.beat();
-    let sent = Instant::now();
+    let began = Instant::now();
     record.line(&format!("{} sends beat {seq}: it isn't cold", cold.name));
     match trouble {
         true => record.line(&format!("beat {seq} is under way for {LATE_MS} ms")),
@@ -88,7 +97,7 @@
             exchange(controls[0], &early, Duration::from_secs(1));
         }
     }
-    let at = |ms: u64| thread::sleep(Duration::from_millis(ms).saturating_sub(sent.elapsed()));
+    let at = |ms: u64| thread::sleep(Duration::from_millis(ms).saturating_sub(began.elapsed()));
     let beat = |cold: &Replica| {
         let (left, done) = (cold.cold_remaining(), cold.send_beat(&controls[1..]));
         record.line(&format!(
@@ -127,12 +136,30 @@
         counts[2].load(Ordering::Relaxed)
     ));
     let arrivals = arrivals.lock().unwrap().clone();
-    judge(record, &arrivals, from)
+    let sent = sent.lock().unwrap().clone();
+    judge(record, &arrivals, &sent, from)
 }
 
-fn judge(record: &Record, arrivals: &[(u8, f64, u64)], from: f64) -> Verdict {
+fn judge(
+    record: &Record,
+    arrivals: &[(u8, f64, u64, String)],
+    sent: &HashMap<String, f64>,
+    from: f64,
+) -> Verdict {
     let bound = COLD_PER_S * OVERSHOOT + SLACK;
-    let at: Vec<f64> = arrivals.iter().filter(|it| it.0 == 0 && it.2 > 0).map(|it| it.1).collect();
+    let rows: Vec<(f64, f64)> = arrivals
+        .iter()
+        .filter(|it| it.0 == 0 && it.2 > 0)
+        .filter_map(|it| Some((*sent.get(&it.3)?, it.1)))
+        .collect();
+    let at: Vec<f64> = rows.iter().map(|it| it.1).collect();
+    for (replica, at, cold, id) in arrivals.iter().filter(|it| it.1 >= from - 0.5) {
+        let sent = sent.get(id).copied().unwrap_or_default();
+        record.line(&format!(
+            "request {id}: sent {sent:.3} s, run {at:.3} s by replica {}, cold for {cold} ms more",
+            replica + 1
+        ));
+    }
     let all: usize = arrivals.iter().filter(|it| it.1 < from && it.1 > from - 1.0).count();
     record.line(&format!("in the second before, the three replicas got {all} requests"));
     for tenth in 0..((COLD_MS / 250) as usize) {
@@ -143,7 +170,8 @@
             begin + 0.25
         ));
     }
-    let most = at.iter().map(|a| at.iter().filter(|b| **b >= *a && **b < *a + 1.0).count()).max();
+    let inside = |end: f64| rows.iter().filter(|it| it.0 > end - 1.0 && it.1 <= end).count();
+    let most = at.iter().map(|it| inside(*it)).max();
     let most = most.unwrap_or(0);
     record.line(&format!(
         "the cold replica got up to {most} requests in one second; the bound is {bound}"
@@ -159,7 +187,14 @@
 }
 
 /// Sends requests one after the other while `going`.
-fn ask(to: SocketAddr, n: u8, going: &AtomicBool, counts: &[AtomicU64; 3]) {
+fn ask(
+    record: &Record,
+    to: SocketAddr,
+    n: u8,
+    going: &AtomicBool,
+    counts: &[AtomicU64; 3],
+    sent: &Mutex<HashMap<String, f64>>,
+) {
     let mut number = 0;
     while going.load(Ordering::Relaxed) {
         let Ok(stream) = TcpStream::connect(to) else {
@@ -172,16 +207,22 @@
         let mut reader = BufReader::new(stream);
         while going.load(Ordering::Relaxed) {
             number += 1;
+            let id = format!("a{n:02x}{number:08x}");
             let request = format!(
-                "POST /ask/{n} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: a{n:02x}{number:08x}\r\n\
+                "POST /ask/{n} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {id}\r\n\
                  Deadline-Ms: 6000\r\nModel: m\r\nToken-Usage: 400,20\r\n\
                  Prefix-Hash: 5c1e{n:02x}{:04x}:200,91bd{number:08x}:200\r\nContent-Length: 2\r\n\r\nhi",
                 number % 7
             );
+            sent.lock().unwrap().insert(id.clone(), record.seconds());
             if out.write_all(request.as_bytes()).is_err() {
                 break;
             }
             let Some(answer) = read_answer(&mut reader) else { break };
+            record.line(&format!(
+                "request {id} is answered {}, whole: {}",
+                answer.status, answer.whole
+            ));
             let kind = match answer.status {
                 200 if answer.whole => 0,
                 503 | 429 => 1,
--- a/review/rig-2/src/machines.rs
+++ b/review/rig-2/src/machines.rs
@@ -15,10 +15,25 @@
 /// The processes that were started, for the end of a case that takes too long.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+pub const SIGHUP: i32 = 1;
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+fn send_signal(pid: u32, signal: i32) {
+    // The ids are those of child processes that were not waited for.
+    unsafe { kill(pid as i32, signal) };
+}
+
 /// Ends all processes that were started.
 pub fn kill_started() {
     for pid in STARTED.lock().expect("the list of processes").iter() {
-        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        send_signal(*pid, SIGKILL);
     }
 }
 
@@ -160,11 +175,10 @@
         )
     }
 
-    /// Sends a signal to the process of a machine.
-    pub fn signal(&self, n: u8, name: &str) {
+    /// Sends a signal to the process of a machine, unless it has ended.
+    pub fn signal(&self, n: u8, signal: i32) {
         if let Some(child) = &self.running[usize::from(n)] {
-            let pid = child.id().to_string();
-            let _ = Command::new("kill").args([name, pid.as_str()]).stderr(Stdio::null()).status();
+            send_signal(child.id(), signal);
         }
     }
 
@@ -228,8 +242,8 @@
 
     fn kill_all(&self) {
         for n in 0..self.running.len() as u8 {
-            self.signal(n, "-CONT");
-            self.signal(n, "-KILL");
+            self.signal(n, SIGCONT);
+            self.signal(n, SIGKILL);
         }
     }
 }
--- a/review/rig-2/src/many_pieces.rs
+++ b/review/rig-2/src/many_pieces.rs
@@ -146,7 +146,7 @@
                 record.line(&format!(
                     "edge {n} takes {used} MB of {MEMORY_MB}: the platform kills it"
                 ));
-                machines.signal(edge, "-KILL");
+                machines.signal(edge, crate::machines::SIGKILL);
                 ended.insert(n);
             } else if machines.has_ended(edge) {
                 record.line(&format!("the process of edge {n} has ended by itself"));
--- a/review/rig-2/src/paused_reader.rs
+++ b/review/rig-2/src/paused_reader.rs
@@ -39,7 +39,7 @@
     }
     machines.wait_ready(record);
     thread::sleep(Duration::from_millis(4500));
-    machines.signal(machines.edge(0), "-HUP");
+    machines.signal(machines.edge(0), crate::machines::SIGHUP);
     record.line("SIGHUP to edge 0, whose settings file is as before");
     thread::sleep(Duration::from_millis(300));
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/rig-2/src/replica.rs
+++ b/review/rig-2/src/replica.rs
@@ -154,6 +154,14 @@
         });
     }
 
+    fn health(&self) -> String {
+        let cold = match self.cold_remaining() {
+            0 => String::new(),
+            left => format!("Cold-Ms: {left}\r\n"),
+        };
+        format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n{cold}Content-Length: 0\r\n\r\n", self.name)
+    }
+
     fn serve(&self, stream: TcpStream, handler: &Handler) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else { return };
@@ -179,6 +187,12 @@
                 }
                 continue;
             }
+            if request.head.first.contains(" /healthz ") {
+                if out.write_all(self.health().as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             if handler(&request, &mut out).is_err() {
                 return;
             }
--- a/review/rig-2/src/slow_reader.rs
+++ b/review/rig-2/src/slow_reader.rs
@@ -56,7 +56,7 @@
         return Verdict::CouldNotRun;
     }
     if trouble {
-        machines.signal(machines.edge(0), "-TERM");
+        machines.signal(machines.edge(0), crate::machines::SIGTERM);
         record.line("SIGTERM to the edge, of which the platform allows GraceS = 8 s");
     }
     let term = Instant::now();
--- a/review/rig-2/src/versions.rs
+++ b/review/rig-2/src/versions.rs
@@ -66,7 +66,7 @@
     if trouble {
         let other = &replicas[0];
         other.beats.store(false, Ordering::Relaxed);
-        thread::sleep(Duration::from_millis(1300));
+        other.send_beat(&machines.controls());
         record.line(&format!("{} is down for {DOWN_MS} ms; connections are closed", other.name));
         other.start_again("v2", Duration::from_millis(DOWN_MS));
         record.line(&format!("{} has started again as v2", other.name));
