Log each address that a search for the leader asks, and how long it took

The line "renewal failed" came once a second, so that the addresses asked in between, and what each of them cost, couldn't be told from the logs. It now comes for each address in turn, with the time from the question to its failure.

--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -98,8 +98,8 @@
     /// Whether this instance reaches no endpoints, and the leader isn't told of a change.
     cut: bool,
     cut_unreported: bool,
-    /// When renewals started to fail, and when that was last logged.
-    failing: Option<(Time, Time)>,
+    /// When renewals started to fail, when that was last logged, and of which leader.
+    failing: Option<(Time, Time, Option<SocketAddr>)>,
     /// Whether a join is pending.
     pub joining: bool,
     /// Raft messages to send once the current sync is complete.
@@ -189,23 +189,27 @@
         self.leader = None;
     }
 
-    /// Records that a renewal failed, and logs it with the leader's address.
-    fn record_failure(&mut self, now: Time, reason: &dyn Display) {
-        let (since, logged) = self.failing.unwrap_or((now, Time(0)));
-        let should_log = self.failing.is_none() || now.since(logged) >= FAILURE_LOG_INTERVAL;
+    /// Records that a renewal failed, and logs it with the leader's address: the first
+    /// failure at each address in turn, and then one an interval.
+    fn record_failure(&mut self, now: Time, sent_at: Time, reason: &dyn Display) {
+        let (since, logged, asked) = self.failing.unwrap_or((now, Time(0), None));
+        let should_log = self.failing.is_none()
+            || asked != self.leader
+            || now.since(logged) >= FAILURE_LOG_INTERVAL;
         if should_log {
             let leader = self.leader.map_or_else(|| "none".to_owned(), |it| it.to_string());
             log::info!(
-                reason:% = reason, leader = leader.as_str(), failing_ms = now.since(since).0;
+                reason:% = reason, leader = leader.as_str(), failing_ms = now.since(since).0,
+                waited_ms = now.since(sent_at).0;
                 "[lease] renewal failed"
             );
         }
-        self.failing = Some((since, if should_log { now } else { logged }));
+        self.failing = Some((since, if should_log { now } else { logged }, self.leader));
     }
 
     /// Records that a renewal succeeded, and logs the end of a series of failures.
     fn record_success(&mut self, now: Time) {
-        if let Some((since, _)) = self.failing.take() {
+        if let Some((since, ..)) = self.failing.take() {
             log::info!(failed_ms = now.since(since).0; "[lease] renewals are answered again");
         }
     }
@@ -338,8 +342,8 @@
                 self.apply_reply(now, sent_at, reply);
             }
             Ok(Err(RenewError::Superseded)) => {}
-            Ok(Err(err)) => self.on_renewal_failure(now, latest, unsettled, Ok(err)),
-            Err(err) => self.on_renewal_failure(now, latest, unsettled, Err(err)),
+            Ok(Err(err)) => self.on_renewal_failure(now, sent_at, latest, unsettled, Ok(err)),
+            Err(err) => self.on_renewal_failure(now, sent_at, latest, unsettled, Err(err)),
         }
     }
 
@@ -477,6 +481,7 @@
     fn on_renewal_failure(
         &mut self,
         now: Time,
+        sent_at: Time,
         latest: bool,
         unsettled: Unsettled,
         failure: Result<RenewError, PeerError>,
@@ -486,8 +491,8 @@
             self.renewals.next_at = now + RETRY_DELAY;
         }
         match &failure {
-            Ok(err) => self.renewals.record_failure(now, err),
-            Err(err) => self.renewals.record_failure(now, err),
+            Ok(err) => self.renewals.record_failure(now, sent_at, err),
+            Err(err) => self.renewals.record_failure(now, sent_at, err),
         }
         match failure {
             Ok(RenewError::NotLeader { leader }) => self.renewals.set_leader(leader),
