Search for the leader at several instances at once, and forget those that are gone

Cause: an instance without a leader called the addresses of all instances that it had ever known, one after the other, each with a whole renewal. Addresses of the settings and of the roster were only ever added. One that is gone cost 0.5 s, one with an open connection 1.2 s, and all instances kept the same order. A named leader was called without asking whether it still led. Besides, a call that had waited for an earlier leader cleared the new one when it failed at last, or set the one that its answer named.

Ruled out by the trace of the commit before: no leader (a new one was elected after 0.7 s), updates that aren't applied (none failed), and links (the same instances renewed at the first address that led).

Change: coord::control::LeaderSearch. Up to three of the current voters and one other instance are asked at once who leads, at random and at random times; only one that says itself that it leads is followed, one that is named is asked next. The leader tells the voters with a renewal, others with their answer; nothing else is kept. A renewal without an answer for 0.8 s starts the search while the leader may still answer. Calls know whom they were sent to, so that late failures concern only that instance, and go to a new leader at once. Instances of earlier builds answer that they don't know the question, and are called in turn as before.

--- a/crates/coord/src/control/mod.rs
+++ b/crates/coord/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod founding;
 mod guard;
 mod holder;
+mod leader_search;
 mod leases;
 mod load_duty;
 mod renew;
@@ -24,6 +25,7 @@
 mod teams;
 mod update_stats;
 mod voter;
+mod voter_list;
 
 pub use {
     crash::CrashReport,
@@ -36,6 +38,7 @@
     founding::{first_voter, first_voters, founded_system},
     guard::PeerGuard,
     holder::{HolderChange, LeaseHolder},
+    leader_search::{LeaderReport, LeaderSearch},
     leases::{LEASE_DURATION, LEASE_MARGIN, LeaseRow, LeaseTable},
     renew::{
         Demand, EndpointFault, EndpointReport, FaultKind, Grants, Holding, LONG_POLL, RenewError,
@@ -48,4 +51,5 @@
     teams::TeamTable,
     update_stats::{UpdateCounts, UpdateStats},
     voter::{Completion, ProposalError, Token, Voter},
+    voter_list::VoterList,
 };
--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -3,7 +3,7 @@
 //! shares. While the leader has nothing new it delays the reply (long polling).
 
 use {
-    super::CrashReport,
+    super::{CrashReport, VoterList},
     crate::{
         catalog::Catalog,
         ids::{
@@ -88,6 +88,10 @@
     /// One for each rollout that is open.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutReport>,
+    /// The log index of the voters that the instance knows. `None` from an instance of an
+    /// earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub voters: Option<Index>,
     /// Whether the instance is stopping. The reply then has a lease of length zero.
     pub leaving: bool,
 }
@@ -214,6 +218,9 @@
     pub cut: IndexSet<NodeId>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutGrant>,
+    /// The voters, if the request knows others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub voters: Option<VoterList>,
 }
 
 /// The reason for which a renewal is refused.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -4,6 +4,7 @@
     super::{
         Completion, EndpointReport, Grants, Holding, LEASE_DURATION, LEASE_MARGIN, LeaseRow,
         RenewError, RenewReply, RenewRequest, ShareHolder, Token, Update, UpdateForm, Voter,
+        VoterList,
         voter::{Renewal, Revisions, Told},
     },
     crate::{
@@ -29,8 +30,7 @@
         if self.raft.role() != Role::Leader {
             return Err(RenewError::NotLeader { leader: self.leader_addr() });
         }
-        let has_lease = self.raft.lease().is_some_and(|it| it > now);
-        if !self.raft.has_committed_in_term() || !has_lease || self.applied < request.applied {
+        if !self.can_grant(now) || self.applied < request.applied {
             return Err(RenewError::NotReady);
         }
         let member = self.state.tables.roster.get(&request.node);
@@ -275,6 +275,10 @@
             mixed: self.mixed.clone(),
             cut: self.cut.nodes(),
             rollouts: Vec::new(),
+            voters: request
+                .voters
+                .filter(|it| *it != self.raft.config_index())
+                .map(|_| VoterList::of(&self.raft)),
         }
     }
 
--- a/crates/coord/src/control/voter.rs
+++ b/crates/coord/src/control/voter.rs
@@ -215,6 +215,11 @@
         self.raft.config().addr(leader)
     }
 
+    /// Whether this voter leads and can grant leases.
+    pub fn can_grant(&self, now: Time) -> bool {
+        self.raft.has_committed_in_term() && self.raft.lease().is_some_and(|it| it > now)
+    }
+
     /// Handles a Raft message.
     pub fn step(&mut self, now: Time, from: NodeId, message: Message) {
         self.raft.step(now, from, message);
@@ -403,8 +408,7 @@
         now: Time,
         query: &StreamQuery,
     ) -> Result<StreamAnswer, ProposalError> {
-        let has_lease = self.raft.lease().is_some_and(|it| it > now);
-        if !has_lease || !self.raft.has_committed_in_term() {
+        if !self.can_grant(now) {
             return Err(ProposalError::NotLeader { leader: self.leader_addr() });
         }
         let origin = self.state.streams.find(&self.state.tables, query);
--- a/crates/coord/src/raft/raft.rs
+++ b/crates/coord/src/raft/raft.rs
@@ -242,6 +242,11 @@
         &self.config
     }
 
+    /// The log index of that configuration.
+    pub fn config_index(&self) -> Index {
+        self.config_index
+    }
+
     /// The latest configuration that is known to be committed.
     pub fn committed_config(&self) -> &Config {
         &self.committed_config
--- a/crates/coord/tests/catalog_delta.rs
+++ b/crates/coord/tests/catalog_delta.rs
@@ -91,6 +91,7 @@
         mixed: Default::default(),
         cut: Default::default(),
         rollouts: Vec::new(),
+        voters: None,
     }
 }
 
--- a/crates/coord/tests/large_fleets.rs
+++ b/crates/coord/tests/large_fleets.rs
@@ -315,6 +315,7 @@
             cut: false,
             reads_rollouts: false,
             rollouts: Vec::new(),
+            voters: None,
             leaving: false,
         }
     }
--- a/crates/coord/tests/voters/voter_cluster.rs
+++ b/crates/coord/tests/voters/voter_cluster.rs
@@ -321,6 +321,7 @@
             cut: false,
             reads_rollouts: false,
             rollouts: Vec::new(),
+            voters: None,
             leaving: false,
         };
         let at = self.nodes.get_mut(&leader).expect("the leader runs");
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -4,7 +4,7 @@
     super::{
         Context,
         proposals::{CommitNotice, Proposal, notify},
-        renewals::{Renewals, Unsettled},
+        renewals::{Renewals, SentRenewal},
         stop::Stop,
         streams::{Lookup, WaitingLookup},
     },
@@ -22,8 +22,8 @@
     },
     coord::{
         control::{
-            Completion, Deregistrations, Envelope, LeaseHolder, PeerGuard, ProposalError, Token,
-            Voter, first_voters,
+            Completion, Deregistrations, Envelope, LeaderSearch, LeaseHolder, PeerGuard,
+            ProposalError, Token, Voter, first_voters,
         },
         ids::{Class, Index, NodeId, PoolName, RequestId, RouteName, TeamName, Term},
         limits::SharedGate,
@@ -73,11 +73,22 @@
 
 /// What to continue with when the answer to a token arrives.
 pub(super) enum Pending {
-    Proposal(Box<Proposal>),
-    Renewal { sent_at: Time, unsettled: Unsettled },
-    Admin { call: Box<OperatorCall>, deadline: Time },
+    /// `to` is the leader, or `None` if this instance leads.
+    Proposal {
+        proposal: Box<Proposal>,
+        to: Option<SocketAddr>,
+    },
+    Renewal(SentRenewal),
+    Admin {
+        call: Box<OperatorCall>,
+        deadline: Time,
+        to: SocketAddr,
+    },
     Peer(Responder),
-    Lookup(Box<Lookup>),
+    Lookup {
+        lookup: Box<Lookup>,
+        to: SocketAddr,
+    },
     Read(ReadHandler),
 }
 
@@ -178,6 +189,7 @@
                 log::info!("[lease] The system is founded with the first voters.");
             }
         }
+        let search = LeaderSearch::new(own, &context.settings.join, context.seed);
         let mut core = Self {
             guard: context.identity.system.map(PeerGuard::new),
             identity: context.identity,
@@ -188,7 +200,7 @@
             disk,
             holder: LeaseHolder::new(),
             router,
-            renewals: Renewals::new(&context.settings.join),
+            renewals: Renewals::new(search),
             settings: context.settings,
             callers: IndexMap::new(),
             pending: IndexMap::new(),
@@ -237,6 +249,10 @@
             Event::Hello { respond } => {
                 let _ = respond.send(self.identity.system);
             }
+            Event::FindLeader { respond } => {
+                let _ = respond.send(self.leader_report(now));
+            }
+            Event::LeaderAnswered { from, answer } => self.on_leader_answer(now, from, answer),
             Event::PeerAnswered { token, answer } => self.on_peer_answer(now, token, answer),
             Event::HelloAnswered(system) => self.on_hello_answer(system),
             Event::Operator(call) => self.on_operator(now, call),
@@ -258,7 +274,7 @@
             Event::ReachChanged { is_cut } => self.renewals.set_cut(is_cut),
             Event::SeedsChanged(seeds) => {
                 log::info!(seeds:? = seeds; "[settings] The addresses to join have changed.");
-                self.renewals.add_seeds(&seeds);
+                self.renewals.search.set_seeds(&seeds);
             }
             Event::Synced(last) => {
                 self.syncing = false;
@@ -295,6 +311,7 @@
         }
         self.tick_admin(now);
         self.tick_lookups(now);
+        self.tick_leader(now);
         self.tick_renewals(now);
         self.tick_stop(now);
         let ready = self.holder.has_lease(now) && self.stop.is_none();
--- a/crates/daemon/src/core/mod.rs
+++ b/crates/daemon/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod context;
 #[allow(clippy::module_inception)]
 mod core;
+mod leader;
 mod load;
 mod operators;
 mod peers;
--- a/crates/daemon/src/core/operators.rs
+++ b/crates/daemon/src/core/operators.rs
@@ -19,6 +19,7 @@
         time::{Millis, Time},
         wire::{ChangeRequest, HistoryRow, OperatorError, TablesView},
     },
+    std::net::SocketAddr,
 };
 
 /// How long an operator's request is retried.
@@ -51,7 +52,9 @@
                 // The peer may have given up.
                 let _ = respond.send(PeerAnswer::Admin(answer));
             }
-            Self::Own { call, deadline } => core.on_admin_answer(now, call, deadline, Ok(answer)),
+            Self::Own { call, deadline } => {
+                core.on_admin_answer(now, call, deadline, None, Ok(answer))
+            }
         }
     }
 }
@@ -184,6 +187,7 @@
         now: Time,
         call: Box<OperatorCall>,
         deadline: Time,
+        to: Option<SocketAddr>,
         answer: Result<Result<AdminAnswer, ProposalError>, PeerError>,
     ) {
         match answer {
@@ -210,12 +214,12 @@
             Ok(Err(ProposalError::Refused { reason })) => refuse(*call, &reason),
             Ok(Err(err)) => {
                 if let ProposalError::NotLeader { leader } = err {
-                    self.renewals.set_leader(leader);
+                    self.on_denial(now, to, leader);
                 }
                 self.admin_retries.push((now + RETRY_DELAY, call, deadline));
             }
             Err(_) => {
-                self.renewals.clear_leader();
+                self.on_call_failure(now, to);
                 self.admin_retries.push((now + RETRY_DELAY, call, deadline));
             }
         }
@@ -311,7 +315,7 @@
             return;
         };
         let token = self.next_token();
-        self.pending.insert(token, Pending::Admin { call, deadline });
+        self.pending.insert(token, Pending::Admin { call, deadline, to });
         self.call_peer(to, Some(token), PeerCall::Admin(admin));
     }
 
--- a/crates/daemon/src/core/peers.rs
+++ b/crates/daemon/src/core/peers.rs
@@ -116,33 +116,33 @@
         };
         let answer = answer.map(|it| *it);
         match pending {
-            Pending::Proposal(proposal) => {
+            Pending::Proposal { proposal, to } => {
                 let result = answer.and_then(|it| match it {
                     PeerAnswer::Propose(result) => Ok(result),
                     _ => Err(PeerError::Unreachable),
                 });
-                self.on_proposal_answer(now, *proposal, result);
+                self.on_proposal_answer(now, *proposal, to, result);
             }
-            Pending::Renewal { sent_at, unsettled } => {
+            Pending::Renewal(sent) => {
                 let result = answer.and_then(|it| match it {
                     PeerAnswer::Renew(result) => Ok(*result),
                     _ => Err(PeerError::Unreachable),
                 });
-                self.on_renewal(now, token, sent_at, unsettled, result);
+                self.on_renewal(now, token, sent, result);
             }
-            Pending::Admin { call, deadline } => {
+            Pending::Admin { call, deadline, to } => {
                 let result = answer.and_then(|it| match it {
                     PeerAnswer::Admin(result) => Ok(result),
                     _ => Err(PeerError::Unreachable),
                 });
-                self.on_admin_answer(now, call, deadline, result);
+                self.on_admin_answer(now, call, deadline, Some(to), result);
             }
-            Pending::Lookup(lookup) => {
+            Pending::Lookup { lookup, to } => {
                 let result = answer.and_then(|it| match it {
                     PeerAnswer::Stream(result) => Ok(result),
                     _ => Err(PeerError::Unreachable),
                 });
-                self.on_lookup_answer(now, *lookup, result);
+                self.on_lookup_answer(now, *lookup, Some(to), result);
             }
             Pending::Peer(_) | Pending::Read(_) => {}
         }
--- a/crates/daemon/src/core/proposals.rs
+++ b/crates/daemon/src/core/proposals.rs
@@ -15,6 +15,7 @@
         time::{Millis, Time},
         wire::OperatorError,
     },
+    std::net::SocketAddr,
 };
 
 /// The delay before a proposal is sent again.
@@ -86,7 +87,7 @@
         if self.leads() {
             let command = self.stamp(proposal.command.clone());
             let sent = Proposal { sent: true, ..proposal };
-            self.pending.insert(token, Pending::Proposal(Box::new(sent)));
+            self.pending.insert(token, Pending::Proposal { proposal: Box::new(sent), to: None });
             let voter = self.voter.as_mut().expect("a leader is a voter");
             voter.propose(now, token, command);
             return;
@@ -96,7 +97,8 @@
             return;
         };
         let command = proposal.command.clone();
-        self.pending.insert(token, Pending::Proposal(Box::new(proposal)));
+        let pending = Pending::Proposal { proposal: Box::new(proposal), to: Some(to) };
+        self.pending.insert(token, pending);
         self.call_peer(to, Some(token), PeerCall::Propose(command));
     }
 
@@ -125,7 +127,7 @@
         result: Result<Outcome, ProposalError>,
     ) {
         match self.pending.shift_remove(&token) {
-            Some(Pending::Proposal(it)) => self.conclude(now, *it, result),
+            Some(Pending::Proposal { proposal, to }) => self.conclude(now, *proposal, to, result),
             Some(Pending::Peer(respond)) => {
                 let _ = respond.send(PeerAnswer::Propose(result));
             }
@@ -138,18 +140,15 @@
         &mut self,
         now: Time,
         proposal: Proposal,
+        to: Option<SocketAddr>,
         answer: Result<Result<Outcome, ProposalError>, PeerError>,
     ) {
         match answer {
-            Ok(result) => self.conclude(now, proposal, result),
-            Err(PeerError::Unreachable) => {
-                self.renewals.clear_leader();
-                self.retries.push((now + RETRY_DELAY, proposal));
-            }
-            Err(PeerError::NoAnswer) => {
-                self.renewals.clear_leader();
-                let proposal = Proposal { sent: true, ..proposal };
-                self.retries.push((now + RETRY_DELAY, proposal));
+            Ok(result) => self.conclude(now, proposal, to, result),
+            Err(err) => {
+                self.on_call_failure(now, to);
+                let sent = proposal.sent || err == PeerError::NoAnswer;
+                self.retries.push((now + RETRY_DELAY, Proposal { sent, ..proposal }));
             }
         }
     }
@@ -173,17 +172,23 @@
         let is_settling =
             |it: &Proposal| matches!(it.origin, Origin::Settlement | Origin::Claim { .. });
         let waits = self.pending.values().any(|it| match it {
-            Pending::Proposal(it) => is_settling(it),
+            Pending::Proposal { proposal, .. } => is_settling(proposal),
             _ => false,
         });
         waits || self.retries.iter().any(|(_, it)| is_settling(it))
     }
 
-    fn conclude(&mut self, now: Time, proposal: Proposal, result: Result<Outcome, ProposalError>) {
+    fn conclude(
+        &mut self,
+        now: Time,
+        proposal: Proposal,
+        to: Option<SocketAddr>,
+        result: Result<Outcome, ProposalError>,
+    ) {
         match result {
             Ok(outcome) => self.deliver(now, proposal, outcome),
             Err(ProposalError::NotLeader { leader }) => {
-                self.renewals.set_leader(leader);
+                self.on_denial(now, to, leader);
                 self.retries.push((now + RETRY_DELAY, proposal));
             }
             Err(ProposalError::Lost) => {
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -1,4 +1,4 @@
-//! Lease renewals, and the search for the leader.
+//! Lease renewals.
 
 use {
     super::{
@@ -7,13 +7,13 @@
         proposals::{Origin, Proposal},
     },
     crate::{
-        peers::{Outgoing, PeerCall, PeerError},
+        peers::{PeerCall, PeerError},
         relay::log_limit,
     },
     coord::{
         control::{
-            CRASH_WINDOW, CrashReport, EndpointFault, EndpointReport, PeerGuard, RenewError,
-            RenewReply, RenewRequest, Token,
+            CRASH_WINDOW, CrashReport, EndpointFault, EndpointReport, LeaderSearch, PeerGuard,
+            RenewError, RenewReply, RenewRequest, Token,
         },
         ids::{EndpointName, NodeId, PoolName, SystemId},
         raft,
@@ -32,9 +32,6 @@
 const RETRY_DELAY: Millis = Millis(60);
 /// A renewal without an answer for this long is followed by another.
 const RENEWAL_TIMEOUT: Millis = Millis(1300);
-/// How often an instance that belongs to no system asks one of the addresses to
-/// join for its system.
-const HELLO_INTERVAL: Millis = Millis(200);
 /// The interval of log lines while renewals fail.
 const FAILURE_LOG_INTERVAL: Millis = Millis(1000);
 /// How long a join is retried before it starts over.
@@ -53,6 +50,14 @@
     answered_pools: IndexSet<PoolName>,
 }
 
+/// A renewal that has been sent.
+pub struct SentRenewal {
+    pub sent_at: Time,
+    /// The leader; `None` if this instance leads.
+    pub to: Option<SocketAddr>,
+    pub unsettled: Unsettled,
+}
+
 /// A report of a crash, and when the request's connection ended.
 #[derive(Debug, Clone)]
 struct Crash {
@@ -90,10 +95,11 @@
     unsettled: Unsettled,
     /// The latest crashes, which a new leader is told again.
     crashes: VecDeque<Crash>,
-    leader: Option<SocketAddr>,
-    seeds: Vec<SocketAddr>,
-    seed_index: usize,
-    hello_at: Time,
+    pub search: LeaderSearch,
+    /// The leader that calls were last sent to.
+    pub followed: Option<SocketAddr>,
+    /// When the addresses to join were last asked which system they belong to.
+    pub hello_at: Time,
     peer_addrs: IndexMap<NodeId, SocketAddr>,
     /// Whether this instance reaches no endpoints, and the leader isn't told of a change.
     cut: bool,
@@ -107,8 +113,8 @@
 }
 
 impl Renewals {
-    /// The state at the start, with the addresses to join.
-    pub fn new(seeds: &[SocketAddr]) -> Self {
+    /// The state at the start.
+    pub fn new(search: LeaderSearch) -> Self {
         Self {
             seq: 0,
             outstanding: None,
@@ -117,9 +123,8 @@
             reports: IndexMap::new(),
             unsettled: Unsettled::default(),
             crashes: VecDeque::new(),
-            leader: None,
-            seeds: seeds.to_vec(),
-            seed_index: 0,
+            search,
+            followed: None,
             hello_at: Time(0),
             peer_addrs: IndexMap::new(),
             cut: false,
@@ -130,13 +135,6 @@
         }
     }
 
-    /// Puts new addresses to join in front of the known ones, which stay, including
-    /// those from the roster.
-    pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
-        let all: IndexSet<SocketAddr> = seeds.iter().chain(&self.seeds).copied().collect();
-        self.seeds = all.into_iter().collect();
-    }
-
     /// Sets whether this instance reaches no endpoints, for the next renewal.
     pub fn set_cut(&mut self, is_cut: bool) {
         self.cut_unreported |= self.cut != is_cut;
@@ -179,32 +177,39 @@
         self.crashes.iter().filter(|it| !it.report.suspects.is_empty()).cloned().collect()
     }
 
-    /// Sets the leader that another instance has named.
-    pub fn set_leader(&mut self, leader: Option<SocketAddr>) {
-        self.leader = leader;
+    /// When the renewal that waits for its answer was sent.
+    pub fn waits_since(&self) -> Option<Time> {
+        self.outstanding.map(|(_, sent_at)| sent_at)
     }
 
-    /// Forgets the leader, which doesn't answer.
-    pub fn clear_leader(&mut self) {
-        self.leader = None;
+    /// Sends the next renewal to another leader, without waiting for the answer to the
+    /// latest one.
+    pub fn turn_to(&mut self, leader: SocketAddr) {
+        self.followed = Some(leader);
+        self.outstanding = None;
     }
 
     /// Records that a renewal failed, and logs it with the leader's address: the first
     /// failure at each address in turn, and then one an interval.
-    fn record_failure(&mut self, now: Time, sent_at: Time, reason: &dyn Display) {
+    fn record_failure(
+        &mut self,
+        now: Time,
+        sent_at: Time,
+        to: Option<SocketAddr>,
+        reason: &dyn Display,
+    ) {
         let (since, logged, asked) = self.failing.unwrap_or((now, Time(0), None));
-        let should_log = self.failing.is_none()
-            || asked != self.leader
-            || now.since(logged) >= FAILURE_LOG_INTERVAL;
+        let should_log =
+            self.failing.is_none() || asked != to || now.since(logged) >= FAILURE_LOG_INTERVAL;
         if should_log {
-            let leader = self.leader.map_or_else(|| "none".to_owned(), |it| it.to_string());
+            let leader = to.map_or_else(|| "none".to_owned(), |it| it.to_string());
             log::info!(
                 reason:% = reason, leader = leader.as_str(), failing_ms = now.since(since).0,
                 waited_ms = now.since(sent_at).0;
                 "[lease] renewal failed"
             );
         }
-        self.failing = Some((since, if should_log { now } else { logged }, self.leader));
+        self.failing = Some((since, if should_log { now } else { logged }, to));
     }
 
     /// Records that a renewal succeeded, and logs the end of a series of failures.
@@ -219,40 +224,18 @@
         self.peer_addrs.get(&id).copied()
     }
 
-    /// Takes the peers' addresses from the roster. Instances with a data folder come
-    /// first among the seeds, since only they can be voters.
+    /// Takes the peers' addresses from the roster.
     fn update_peers(&mut self, tables: &Tables) {
         self.peer_addrs = tables.roster.values().map(|it| (it.id, it.peer)).collect();
-        let with_disk = tables.roster.values().filter(|it| it.disk).map(|it| it.peer);
-        let all: IndexSet<SocketAddr> = with_disk.chain(self.seeds.iter().copied()).collect();
-        self.seeds = all.into_iter().collect();
-    }
-
-    /// The next instance to ask for the leader, in turn.
-    fn next_seed(&mut self, own: SocketAddr) -> Option<SocketAddr> {
-        let others: Vec<SocketAddr> = self.seeds.iter().copied().filter(|it| *it != own).collect();
-        self.seed_index = self.seed_index.wrapping_add(1);
-        others.get(self.seed_index % others.len().max(1)).copied()
     }
 }
 
 impl Core {
-    /// The leader's address, or another instance that may know it.
-    pub(super) fn leader_addr(&mut self) -> Option<SocketAddr> {
-        let raft_leader = self.voter.as_ref().and_then(|it| it.leader_addr());
-        if raft_leader.is_some() || self.renewals.leader.is_some() {
-            return raft_leader.or(self.renewals.leader);
-        }
-        self.renewals.leader = self.renewals.next_seed(self.peer_addr);
-        self.renewals.leader
-    }
-
     /// Sends a renewal if the latest one is answered or timed out. One is sent early,
     /// while another is unanswered, to report faults or to ask for slots for a pool that
     /// has queued requests and no free slot.
     pub(super) fn tick_renewals(&mut self, now: Time) {
         if self.identity.system.is_none() {
-            self.send_hello(now);
             return;
         }
         if self.stop.as_ref().is_some_and(|it| it.released) {
@@ -293,7 +276,7 @@
         let token = self.next_token();
         self.renewals.outstanding = Some((token, now));
         self.renewals.sent_at = now;
-        self.pending.insert(token, Pending::Renewal { sent_at: now, unsettled });
+        self.pending.insert(token, Pending::Renewal(SentRenewal { sent_at: now, to, unsettled }));
         match to {
             Some(to) => self.call_peer(to, Some(token), PeerCall::Renew(Box::new(request))),
             None => {
@@ -312,9 +295,7 @@
         result: Result<RenewReply, RenewError>,
     ) {
         match self.pending.shift_remove(&token) {
-            Some(Pending::Renewal { sent_at, unsettled }) => {
-                self.on_renewal(now, token, sent_at, unsettled, Ok(result));
-            }
+            Some(Pending::Renewal(sent)) => self.on_renewal(now, token, sent, Ok(result)),
             Some(Pending::Peer(respond)) => {
                 let _ = respond.send(crate::peers::PeerAnswer::Renew(Box::new(result)));
             }
@@ -327,8 +308,7 @@
         &mut self,
         now: Time,
         token: Token,
-        sent_at: Time,
-        unsettled: Unsettled,
+        sent: SentRenewal,
         answer: Result<Result<RenewReply, RenewError>, PeerError>,
     ) {
         let latest = self.renewals.outstanding.is_some_and(|(it, _)| it == token);
@@ -339,11 +319,14 @@
         match answer {
             Ok(Ok(reply)) => {
                 self.renewals.record_success(now);
-                self.apply_reply(now, sent_at, reply);
+                if let Some(to) = sent.to {
+                    self.renewals.search.confirm(now, to, reply.term);
+                }
+                self.apply_reply(now, sent.sent_at, reply);
             }
             Ok(Err(RenewError::Superseded)) => {}
-            Ok(Err(err)) => self.on_renewal_failure(now, sent_at, latest, unsettled, Ok(err)),
-            Err(err) => self.on_renewal_failure(now, sent_at, latest, unsettled, Err(err)),
+            Ok(Err(err)) => self.on_renewal_failure(now, latest, sent, Ok(err)),
+            Err(err) => self.on_renewal_failure(now, latest, sent, Err(err)),
         }
     }
 
@@ -355,16 +338,6 @@
         }
     }
 
-    /// Handles an instance's answer about the system it belongs to.
-    pub(super) fn on_hello_answer(&mut self, system: Option<SystemId>) {
-        if self.identity.system.is_none()
-            && let Some(system) = system
-        {
-            self.set_system(system);
-            log::info!("[lease] This instance belongs to system {system}.");
-        }
-    }
-
     /// Makes this instance part of a system, and stores that on disk.
     pub(super) fn set_system(&mut self, system: SystemId) {
         self.identity.system = Some(system);
@@ -409,6 +382,7 @@
             cut: self.renewals.cut,
             reads_rollouts: rollouts.is_some(),
             rollouts: rollouts.unwrap_or_default(),
+            voters: Some(self.renewals.search.voters().index),
             leaving,
         }
     }
@@ -442,6 +416,9 @@
         let (seq, limits, index) = (reply.seq, reply.limits.take(), reply.index);
         let grants = std::mem::take(&mut reply.rollouts);
         let load = reply.load.take();
+        if let Some(voters) = reply.voters.take() {
+            self.renewals.search.set_voters(voters);
+        }
         let change = self.holder.apply_reply(now, sent_at, reply);
         if let Some(reason) = &change.failure {
             log::warn!(reason = reason.as_str(); "[lease] update not applied; asking for whole tables");
@@ -450,6 +427,7 @@
             let tables = self.holder.tables().clone();
             self.reload_rollouts(now, &tables);
             self.renewals.update_peers(&tables);
+            self.update_search(&tables);
             self.router.reload(tables.clone());
             self.load.lock().reload(&tables);
             self.tables.send_replace(tables);
@@ -481,24 +459,27 @@
     fn on_renewal_failure(
         &mut self,
         now: Time,
-        sent_at: Time,
         latest: bool,
-        unsettled: Unsettled,
+        sent: SentRenewal,
         failure: Result<RenewError, PeerError>,
     ) {
+        let SentRenewal { sent_at, to, unsettled } = sent;
         self.renewals.unsettled.restore(unsettled);
         if latest {
             self.renewals.next_at = now + RETRY_DELAY;
         }
         match &failure {
-            Ok(err) => self.renewals.record_failure(now, sent_at, err),
-            Err(err) => self.renewals.record_failure(now, sent_at, err),
+            _ if !latest => {}
+            Ok(err) => self.renewals.record_failure(now, sent_at, to, err),
+            Err(err) => self.renewals.record_failure(now, sent_at, to, err),
         }
         match failure {
-            Ok(RenewError::NotLeader { leader }) => self.renewals.set_leader(leader),
+            Ok(RenewError::NotLeader { leader }) => self.on_denial(now, to, leader),
             Ok(RenewError::NotMember) => self.join(now),
-            Ok(RenewError::NotReady | RenewError::Superseded) => {}
-            Err(_) => self.renewals.clear_leader(),
+            // It may have been deposed.
+            Ok(RenewError::NotReady) => self.renewals.search.doubt(now, Millis(0)),
+            Ok(RenewError::Superseded) => {}
+            Err(_) => self.on_call_failure(now, to),
         }
     }
 
@@ -518,15 +499,4 @@
         let proposal = Proposal::new(Origin::Join, Command::Join(member), now + JOIN_TIMEOUT);
         self.propose(now, proposal);
     }
-
-    /// Asks one of the addresses to join which system it belongs to.
-    fn send_hello(&mut self, now: Time) {
-        if now.since(self.renewals.hello_at) < HELLO_INTERVAL {
-            return;
-        }
-        self.renewals.hello_at = now;
-        if let Some(to) = self.renewals.next_seed(self.peer_addr) {
-            let _ = self.peers.send(Outgoing::Hello { to });
-        }
-    }
 }
--- a/crates/daemon/src/core/streams.rs
+++ b/crates/daemon/src/core/streams.rs
@@ -14,6 +14,7 @@
         tables::Command,
         time::{Millis, Time},
     },
+    std::net::SocketAddr,
     tokio::sync::oneshot::Sender,
 };
 
@@ -67,13 +68,14 @@
         &mut self,
         now: Time,
         lookup: Lookup,
+        to: Option<SocketAddr>,
         answer: Result<Result<StreamAnswer, ProposalError>, PeerError>,
     ) {
         match answer {
             Ok(Ok(it)) => return self.settle_lookup(lookup, it),
-            Ok(Err(ProposalError::NotLeader { leader })) => self.renewals.set_leader(leader),
+            Ok(Err(ProposalError::NotLeader { leader })) => self.on_denial(now, to, leader),
             Ok(Err(_)) => {}
-            Err(_) => self.renewals.clear_leader(),
+            Err(_) => self.on_call_failure(now, to),
         }
         let retry_at = now + RETRY_DELAY;
         self.lookups.push(WaitingLookup::Leader { lookup, retry_at });
@@ -102,13 +104,13 @@
     fn look_up(&mut self, now: Time, lookup: Lookup) {
         if let Some(voter) = self.voter.as_ref().filter(|_| self.leads()) {
             let answer = voter.find_stream(now, &lookup.query);
-            return self.on_lookup_answer(now, lookup, Ok(answer));
+            return self.on_lookup_answer(now, lookup, None, Ok(answer));
         }
         match self.leader_addr() {
             Some(to) => {
                 let token = self.next_token();
                 let call = PeerCall::FindStream(lookup.query.clone());
-                self.pending.insert(token, Pending::Lookup(Box::new(lookup)));
+                self.pending.insert(token, Pending::Lookup { lookup: Box::new(lookup), to });
                 self.call_peer(to, Some(token), call);
             }
             None => {
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -5,10 +5,10 @@
         callers::CallerReply,
         disk::DiskError,
         operators::OperatorCall,
-        peers::{PeerCall, PeerError, Responder},
+        peers::{LeaderAnswer, PeerCall, PeerError, Responder},
     },
     coord::{
-        control::{CrashReport, Departure, Envelope, Token},
+        control::{CrashReport, Departure, Envelope, LeaderReport, Token},
         ids::{AttemptId, Index, PoolName, RequestId, SystemId},
         router::{AttemptEvent, Submission},
         streams::{StreamGroup, StreamOrigin, StreamQuery},
@@ -38,6 +38,10 @@
     Peer { call: Box<Envelope<PeerCall>>, respond: Responder },
     /// A peer's question which system this instance belongs to.
     Hello { respond: oneshot::Sender<Option<SystemId>> },
+    /// A peer's question who leads.
+    FindLeader { respond: oneshot::Sender<LeaderReport> },
+    /// What became of the question who leads.
+    LeaderAnswered { from: SocketAddr, answer: LeaderAnswer },
     /// A peer's answer to a call of this instance.
     PeerAnswered { token: Token, answer: Result<Box<crate::peers::PeerAnswer>, PeerError> },
     /// A peer's answer to the question which system it belongs to.
--- a/crates/daemon/src/peers/call.rs
+++ b/crates/daemon/src/peers/call.rs
@@ -2,7 +2,9 @@
 
 use {
     coord::{
-        control::{PeerRefusal, ProposalError, RenewError, RenewReply, RenewRequest, Status},
+        control::{
+            LeaderReport, PeerRefusal, ProposalError, RenewError, RenewReply, RenewRequest, Status,
+        },
         ids::{InstanceName, NodeId, PoolName},
         raft::Message,
         streams::{StreamAnswer, StreamQuery},
@@ -83,6 +85,15 @@
     Stream(Result<StreamAnswer, ProposalError>),
 }
 
+/// What became of the question who leads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaderAnswer {
+    Report(LeaderReport),
+    /// The peer is of an earlier build.
+    UnknownQuestion,
+    Failed,
+}
+
 /// Why a call was not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum PeerError {
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -2,15 +2,16 @@
 //! replaced as soon as a call on it gets no answer.
 
 use {
-    super::{MAX_MESSAGE_BYTES, PeerAnswer, PeerCall, PeerError},
+    super::{LeaderAnswer, MAX_MESSAGE_BYTES, PeerAnswer, PeerCall, PeerError},
     crate::event::{Event, Inbox},
     coord::{
-        control::{Envelope, Token},
+        control::{Envelope, LeaderReport, Token},
         ids::SystemId,
     },
     jsonrpsee::{
         core::client::{ClientT, Error},
         rpc_params,
+        types::error::METHOD_NOT_FOUND_CODE,
         ws_client::{WsClient, WsClientBuilder},
     },
     std::{
@@ -19,12 +20,14 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::sync::mpsc,
+    tokio::{sync::mpsc, time::timeout},
 };
 
 /// The longest wait for an answer; a call that exceeds it makes its connection
 /// suspect.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1200);
+/// The longest wait for the answer to the question who leads, which is answered at once.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The least time between two attempts to connect to a peer.
 const BACKOFF: Duration = Duration::from_millis(100);
@@ -33,14 +36,24 @@
 
 /// A request to a peer.
 pub enum Outgoing {
-    Call { to: SocketAddr, token: Option<Token>, envelope: Box<Envelope<PeerCall>> },
-    Hello { to: SocketAddr },
+    Call {
+        to: SocketAddr,
+        token: Option<Token>,
+        envelope: Box<Envelope<PeerCall>>,
+    },
+    Hello {
+        to: SocketAddr,
+    },
+    /// The question who leads.
+    FindLeader {
+        to: SocketAddr,
+    },
 }
 
-struct Job {
-    token: Option<Token>,
-    /// Absent for a `hello` request.
-    envelope: Option<Box<Envelope<PeerCall>>>,
+enum Job {
+    Call { token: Option<Token>, envelope: Box<Envelope<PeerCall>> },
+    Hello,
+    FindLeader,
 }
 
 /// The connections to all peers.
@@ -60,23 +73,21 @@
     pub async fn run(mut self, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
         while let Some(it) = outgoing.recv().await {
             let (to, job) = match it {
-                Outgoing::Call { to, token, envelope } => {
-                    (to, Job { token, envelope: Some(envelope) })
-                }
-                Outgoing::Hello { to } => (to, Job { token: None, envelope: None }),
+                Outgoing::Call { to, token, envelope } => (to, Job::Call { token, envelope }),
+                Outgoing::Hello { to } => (to, Job::Hello),
+                Outgoing::FindLeader { to } => (to, Job::FindLeader),
             };
             self.enqueue(to, job);
         }
     }
 
     fn enqueue(&mut self, to: SocketAddr, job: Job) {
-        let token = job.token;
         if !self.peers.contains_key(&to) {
             self.peers.insert(to, self.connect(to));
         }
         let sender = &self.peers[&to];
-        if sender.try_send(job).is_err() {
-            report_failure(&self.inbox, token, PeerError::Unreachable);
+        if let Err(err) = sender.try_send(job) {
+            report_unreachable(&self.inbox, to, &err.into_inner());
         }
     }
 
@@ -126,14 +137,18 @@
 
     async fn start_call(&mut self, job: Job, suspect: &mpsc::UnboundedSender<Arc<WsClient>>) {
         let Some(client) = self.client().await else {
-            report_failure(&self.inbox, job.token, PeerError::Unreachable);
+            report_unreachable(&self.inbox, self.to, &job);
             return;
         };
         let (secret, inbox, suspect) = (self.secret.clone(), self.inbox.clone(), suspect.clone());
+        let to = self.to;
         tokio::spawn(async move {
-            let healthy = match job.envelope {
-                Some(envelope) => call(&client, &secret, &inbox, job.token, *envelope).await,
-                None => hello(&client, &secret, &inbox).await,
+            let healthy = match job {
+                Job::Call { token, envelope } => {
+                    call(&client, &secret, &inbox, token, *envelope).await
+                }
+                Job::Hello => hello(&client, &secret, &inbox).await,
+                Job::FindLeader => find_leader(&client, &secret, &inbox, to).await,
             };
             if !healthy {
                 let _ = suspect.send(client);
@@ -159,7 +174,7 @@
             .max_concurrent_requests(MAX_PENDING_CALLS)
             .set_tcp_no_delay(true)
             .build(url);
-        match tokio::time::timeout(CONNECT_TIMEOUT, build).await {
+        match timeout(CONNECT_TIMEOUT, build).await {
             Ok(Ok(built)) => self.client = Some(Arc::new(built)),
             Ok(Err(err)) => log::debug!("[peers] {} can't be reached: {err}.", self.to),
             Err(_) => log::debug!("[peers] {} can't be reached in {CONNECT_TIMEOUT:?}.", self.to),
@@ -206,6 +221,35 @@
     answer.is_ok()
 }
 
+/// Asks a peer who leads; returns false if the connection is suspect.
+async fn find_leader(client: &WsClient, secret: &str, inbox: &Inbox, to: SocketAddr) -> bool {
+    let asked = client.request::<LeaderReport, _>("leader", rpc_params![secret]);
+    let answer = match timeout(QUESTION_TIMEOUT, asked).await {
+        Ok(Ok(report)) => LeaderAnswer::Report(report),
+        Ok(Err(Error::Call(err))) if err.code() == METHOD_NOT_FOUND_CODE => {
+            LeaderAnswer::UnknownQuestion
+        }
+        Ok(Err(Error::Call(_))) => LeaderAnswer::Failed,
+        Ok(Err(_)) | Err(_) => {
+            inbox.offer(Event::LeaderAnswered { from: to, answer: LeaderAnswer::Failed });
+            return false;
+        }
+    };
+    inbox.offer(Event::LeaderAnswered { from: to, answer });
+    true
+}
+
+/// Reports that a job wasn't sent. A `hello` request is repeated anyhow.
+fn report_unreachable(inbox: &Inbox, to: SocketAddr, job: &Job) {
+    match job {
+        Job::Call { token, .. } => report_failure(inbox, *token, PeerError::Unreachable),
+        Job::Hello => {}
+        Job::FindLeader => {
+            inbox.offer(Event::LeaderAnswered { from: to, answer: LeaderAnswer::Failed });
+        }
+    }
+}
+
 fn report_failure(inbox: &Inbox, token: Option<Token>, err: PeerError) {
     if let Some(token) = token {
         inbox.offer(Event::PeerAnswered { token, answer: Err(err) });
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -6,7 +6,7 @@
 mod server;
 
 pub use {
-    call::{AdminAnswer, AdminRequest, PeerAnswer, PeerCall, PeerError, Responder},
+    call::{AdminAnswer, AdminRequest, LeaderAnswer, PeerAnswer, PeerCall, PeerError, Responder},
     client::{Outgoing, PeerClient},
     server::serve,
 };
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -8,7 +8,7 @@
         relay::{BatcherEvent, StageReply, StageRequest, StoredResult},
     },
     coord::{
-        control::Envelope,
+        control::{Envelope, LeaderReport},
         ids::SystemId,
         memory::{ConnectionClass, ConnectionLimits},
         relay::Shard,
@@ -83,6 +83,11 @@
             hello(params, &context).await
         })
         .expect("the method name is unique");
+    module
+        .register_async_method("leader", |params, context, _| async move {
+            find_leader(params, &context).await
+        })
+        .expect("the method name is unique");
     register_batcher_methods(&mut module).expect("the method names are unique");
     let (stop, _handle) = stop_channel();
     let acceptor = memory.acceptor("peers", ConnectionClass::Peers, MAX_CONNECTIONS as usize);
@@ -181,10 +186,26 @@
     params: Params<'static>,
     context: &Context,
 ) -> Result<Option<SystemId>, ErrorObjectOwned> {
+    ask_core(params, context, |respond| Event::Hello { respond }).await
+}
+
+async fn find_leader(
+    params: Params<'static>,
+    context: &Context,
+) -> Result<LeaderReport, ErrorObjectOwned> {
+    ask_core(params, context, |respond| Event::FindLeader { respond }).await
+}
+
+/// Puts a question without parameters but the secret to the core loop.
+async fn ask_core<T>(
+    params: Params<'static>,
+    context: &Context,
+    question: fn(oneshot::Sender<T>) -> Event,
+) -> Result<T, ErrorObjectOwned> {
     let (secret,): (String,) = params.parse()?;
     check_secret(&secret, context)?;
     let (respond, answer) = oneshot::channel();
-    context.inbox.offer(Event::Hello { respond });
+    context.inbox.offer(question(respond));
     match timeout(ANSWER_TIMEOUT, answer).await {
         Ok(Ok(answer)) => Ok(answer),
         _ => Err(rpc_error(BUSY_CODE, "the instance gave no answer")),
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -30,6 +30,8 @@
 pub struct Instance {
     pub spec: DaemonSpec,
     pub daemon: Option<Daemon>,
+    /// Whether it was taken away for good.
+    pub removed: bool,
     /// Forwards to the peer listener; other instances connect through it.
     pub proxy: Proxy,
 }
@@ -79,7 +81,7 @@
         let spec = DaemonSpec {
             domain: self.spec.domains[i % self.spec.domains.len()].clone(),
             data: persistent.then_some(data),
-            join: self.instances.iter().map(|it| it.proxy.addr()).collect(),
+            join: self.join_addrs(),
             advertise: Some(proxy.addr()),
             log: Some(self.folder.path().join(format!("{name}.log"))),
             args: self.spec.args.clone(),
@@ -87,7 +89,7 @@
             addrs: None,
             name,
         };
-        self.instances.push(Instance { spec, daemon: None, proxy });
+        self.instances.push(Instance { spec, daemon: None, removed: false, proxy });
         self.start(i);
         i
     }
@@ -127,6 +129,37 @@
         self.instances[i].daemon.take().expect("the instance isn't running").proc.kill();
     }
 
+    /// Takes a running instance away for good: its process is killed, and its peer address
+    /// doesn't answer any more.
+    ///
+    /// # Panics
+    /// If the instance isn't running.
+    pub fn remove(&mut self, i: usize) {
+        self.instances[i].proxy.silence();
+        self.kill(i);
+        self.instances[i].removed = true;
+    }
+
+    /// The peer addresses of all instances but those taken away for good.
+    pub fn join_addrs(&self) -> Vec<SocketAddr> {
+        let present = self.instances.iter().filter(|it| !it.removed);
+        present.map(|it| it.proxy.addr()).collect()
+    }
+
+    /// Waits until as many instances vote as the cluster began with, all of them running
+    /// and with a lease.
+    pub fn wait_mended(&self) {
+        wait_until("the set of voters is mended", LONG_TIMEOUT, || {
+            self.operator().status().is_ok_and(|status| {
+                let voters = || status.members.iter().filter(|it| it.vote != "none");
+                let runs = |name: &str| self.daemons().any(|it| it.spec.name == name);
+                let voting = voters().filter(|it| it.vote == "voter" && it.lease);
+                voters().count() == self.spec.voters
+                    && voting.filter(|it| runs(it.name.as_str())).count() == self.spec.voters
+            })
+        });
+    }
+
     /// The daemon of a running instance.
     ///
     /// # Panics
--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -59,6 +59,7 @@
     connections: Mutex<HashMap<u64, Connection>>,
     next_number: AtomicU64,
     bytes: AtomicU64,
+    silent: AtomicBool,
     stop: AtomicBool,
 }
 
@@ -78,6 +79,7 @@
             connections: Mutex::new(HashMap::new()),
             next_number: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
+            silent: AtomicBool::new(false),
             stop: AtomicBool::new(false),
         });
         let inner = shared.clone();
@@ -127,6 +129,13 @@
         self.shared.sources.lock().expect("lock poisoned").insert(pid, fault);
     }
 
+    /// Behaves from now on like the address of a machine without power: neither open nor
+    /// new connections get an answer or are closed.
+    pub fn silence(&self) {
+        self.shared.silent.store(true, Ordering::SeqCst);
+        self.blackhole_open();
+    }
+
     /// Discards all further bytes of the open connections. New connections work.
     pub fn blackhole_open(&self) {
         self.shared.blackhole(|_| true);
@@ -141,6 +150,7 @@
 }
 
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    let mut unanswered = Vec::new();
     for stream in listener.incoming() {
         if shared.stop.load(Ordering::SeqCst) {
             return;
@@ -148,6 +158,10 @@
         let Ok(stream) = stream else {
             continue;
         };
+        if shared.silent.load(Ordering::SeqCst) {
+            unanswered.push(stream);
+            continue;
+        }
         let Ok(client) = stream.peer_addr() else {
             continue;
         };
