End connections to other instances that aren't used any more

A connection to another instance and its task were kept for good. One that failed was dropped, but the task stayed; one that was only asked once who leads and then removed without a word stayed open, as nothing was sent on it again.

A connection without calls for 30 s now ends, and its task with it; the next call opens another. Renewals, heartbeats and entries come several times a second where they come at all.

--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -31,6 +31,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The least time between two attempts to connect to a peer.
 const BACKOFF: Duration = Duration::from_millis(100);
+/// How long a connection without calls is kept. Longer than any pause between calls to an
+/// instance that is needed; those to instances that are gone have to end some time.
+const IDLE_TIME: Duration = Duration::from_secs(30);
 /// The most calls queued for one connection, and the most in progress on it.
 const MAX_PENDING_CALLS: usize = 1024;
 
@@ -60,13 +63,19 @@
 pub struct PeerClient {
     secret: Arc<str>,
     inbox: Inbox,
+    idle_time: Duration,
     peers: HashMap<SocketAddr, mpsc::Sender<Job>>,
 }
 
 impl PeerClient {
     /// Creates a client without connections.
     pub fn new(secret: Arc<str>, inbox: Inbox) -> Self {
-        Self { secret, inbox, peers: HashMap::new() }
+        Self { secret, inbox, idle_time: IDLE_TIME, peers: HashMap::new() }
+    }
+
+    /// Sets how long a connection without calls is kept.
+    pub fn keep_idle(self, idle_time: Duration) -> Self {
+        Self { idle_time, ..self }
     }
 
     /// Sends the requests from the core loop until its channel is closed.
@@ -82,7 +91,8 @@
     }
 
     fn enqueue(&mut self, to: SocketAddr, job: Job) {
-        if !self.peers.contains_key(&to) {
+        if self.peers.get(&to).is_none_or(mpsc::Sender::is_closed) {
+            self.peers.retain(|_, it| !it.is_closed());
             self.peers.insert(to, self.connect(to));
         }
         let sender = &self.peers[&to];
@@ -97,6 +107,7 @@
             to,
             secret: self.secret.clone(),
             inbox: self.inbox.clone(),
+            idle_time: self.idle_time,
             client: None,
             retry_at: Instant::now(),
         };
@@ -110,6 +121,7 @@
     to: SocketAddr,
     secret: Arc<str>,
     inbox: Inbox,
+    idle_time: Duration,
     client: Option<Arc<WsClient>>,
     retry_at: Instant,
 }
@@ -120,12 +132,18 @@
         loop {
             tokio::select! {
                 Some(bad) = suspects.recv() => self.drop_client(&bad),
-                job = jobs.recv() => match job {
-                    Some(job) => self.start_call(job, &suspect).await,
-                    None => return,
+                job = timeout(self.idle_time, jobs.recv()) => match job {
+                    Ok(Some(job)) => self.start_call(job, &suspect).await,
+                    Ok(None) => return,
+                    Err(_) => break,
                 },
             }
         }
+        jobs.close();
+        // Queued since the time was over.
+        while let Some(job) = jobs.recv().await {
+            self.start_call(job, &suspect).await;
+        }
     }
 
     fn drop_client(&mut self, bad: &Arc<WsClient>) {
