Refuse no route or key for good by tables that can't be renewed

Cause: a refusal says that something doesn't exist, which takes tables that are known to be current. The relay didn't know how old its tables were.

Change: the core publishes when the latest renewal was sent whose reply was applied. What the tables allow is served on as before: from inside a leader that doesn't answer and a cut look alike, and in a cut callers are to be served.

--- a/crates/coord/src/control/holder.rs
+++ b/crates/coord/src/control/holder.rs
@@ -29,6 +29,8 @@
     tables: Arc<Tables>,
     index: Index,
     lease_end: Option<Time>,
+    /// When the latest renewal was sent whose reply was applied.
+    renewed_at: Time,
     term: Term,
     grants: u64,
     want_holdings: bool,
@@ -65,6 +67,11 @@
         self.lease_end.is_some_and(|it| now < it)
     }
 
+    /// Returns the time up to which the copy of the tables has all that was accepted.
+    pub fn renewed_at(&self) -> Time {
+        self.renewed_at
+    }
+
     /// Drops the lease if it has expired; returns whether it has. The shares are
     /// then void, and the leader must send their list again.
     pub fn expire(&mut self, now: Time) -> bool {
@@ -96,6 +103,9 @@
             }
         };
         self.term = reply.term;
+        if failure.is_none() {
+            self.renewed_at = self.renewed_at.max(asked);
+        }
         self.lease_end = self.lease_end.max(Some(until));
         self.want_holdings = reply.want_holdings;
         let grants = reply.grants.filter(|it| it.number > self.grants);
--- a/crates/daemon/src/core/context.rs
+++ b/crates/daemon/src/core/context.rs
@@ -8,6 +8,7 @@
         relay::DrainState,
         rollout_handle::RolloutHandle,
         settings::Settings,
+        tables_clock::TablesClock,
         telemetry::Meters,
     },
     coord::{
@@ -55,6 +56,8 @@
     pub rollouts: RolloutHandle,
     /// The load of endpoints as this instance knows it.
     pub load: SharedLoad,
+    /// How old the tables are, for the relay.
+    pub clock: TablesClock,
     pub drain: Arc<DrainState>,
     pub start: Instant,
     /// Seeds the random number generators.
--- a/crates/daemon/src/core/core.rs
+++ b/crates/daemon/src/core/core.rs
@@ -18,6 +18,7 @@
         relay::DrainState,
         rollout_handle::RolloutHandle,
         settings::Settings,
+        tables_clock::TablesClock,
         telemetry::Meters,
     },
     coord::{
@@ -145,6 +146,7 @@
     pub(super) gate: SharedGate,
     pub(super) rollouts: RolloutHandle,
     pub(super) load: SharedLoad,
+    pub(super) clock: TablesClock,
     /// When sums that can't be used were last logged.
     pub(super) load_logged_at: Time,
     pub(super) drain: Arc<DrainState>,
@@ -220,6 +222,7 @@
             gate: context.gate,
             rollouts: context.rollouts,
             load: context.load,
+            clock: context.clock,
             load_logged_at: Time(0),
             drain: context.drain,
             stop: None,
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -420,6 +420,7 @@
             self.renewals.search.set_voters(voters);
         }
         let change = self.holder.apply_reply(now, sent_at, reply);
+        self.clock.set(self.holder.renewed_at());
         if let Some(reason) = &change.failure {
             log::warn!(reason = reason.as_str(); "[lease] update not applied; asking for whole tables");
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod rollout_handle;
 pub mod run;
 pub mod settings;
+pub mod tables_clock;
 pub mod telemetry;
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -215,13 +215,15 @@
     let request = match request {
         Ok(it) => it,
         Err(denial) => {
+            let denial = qualify(denial, relay);
             let id = id.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("none");
             log::info!(
-                request = id, outcome = denial.name(), catalog = version;
+                request = id, outcome = denial.name(), catalog = version,
+                tables_age_ms = relay.clock.age(relay.now()).0;
                 "[relay] refused"
             );
             counter!("mangobend_relay_refused_total", "reason" => denial.name()).increment(1);
-            let unready = denial == Denial::NoCatalog;
+            let unready = matches!(denial, Denial::NoCatalog | Denial::Outdated);
             let after = unready.then(|| retry_after_start(left)).or_else(|| retry_after(denial));
             return deny(denial, after);
         }
@@ -255,7 +257,17 @@
     response
 }
 
-/// Returns after which time a request may come back that was refused for lack of a catalog.
+/// Returns the denial of a request that the tables don't allow. Callers don't come back after
+/// one that is final, so that it takes tables that are known to be current.
+fn qualify(denial: Denial, relay: &Relay) -> Denial {
+    match denial {
+        Denial::NoRoute | Denial::NoKey if !relay.clock.is_current(relay.now()) => Denial::Outdated,
+        _ => denial,
+    }
+}
+
+/// Returns after which time a request may come back that was refused for lack of a catalog,
+/// or of a current one.
 /// `left` is the caller's time as its header states it.
 fn retry_after_start(left: Option<HeaderValue>) -> Millis {
     let left = left.and_then(|it| it.to_str().ok()?.trim().parse().ok());
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -9,7 +9,9 @@
         request::RelayRequest, rollouts::Rollouts, stream_recorder::StreamRecorder,
         upstream::Upstream, view::View,
     },
-    crate::{event::Inbox, memory::Memory, rollout_handle::RolloutHandle},
+    crate::{
+        event::Inbox, memory::Memory, rollout_handle::RolloutHandle, tables_clock::TablesClock,
+    },
     coord::{
         ids::{EndpointName, NodeId, PoolName, StageName},
         limits::SharedGate,
@@ -66,6 +68,8 @@
     pub rollouts: RolloutHandle,
     /// The load of endpoints as this instance knows it.
     pub load: SharedLoad,
+    /// How old the tables are.
+    pub clock: TablesClock,
     /// The origin of the times that the gate is given.
     pub start: Instant,
     /// The address at which peers reach this instance.
@@ -91,6 +95,8 @@
     /// Marks requests that are handed over between instances.
     pub mark: HeaderValue,
     pub peer: SocketAddr,
+    /// How old the tables are.
+    pub clock: TablesClock,
     placer: Rc<RefCell<Placer>>,
     counted: Counted,
     pub(super) load: SharedLoad,
@@ -156,6 +162,7 @@
             gate,
             rollouts,
             load,
+            clock,
             start,
             peer,
             secret,
@@ -194,6 +201,7 @@
             batcher_clients: BatcherClients::new(secret),
             series: Rc::default(),
             peer,
+            clock,
             placer,
             counted: Rc::default(),
             load,
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -35,6 +35,8 @@
     NoRoute,
     /// The key is missing or unknown.
     NoKey,
+    /// The route or the key is unknown by tables that may lack accepted changes.
+    Outdated,
     /// The head or the body is invalid.
     Malformed,
     /// The body exceeds the catalog's limit.
@@ -76,6 +78,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Stalled => StatusCode::REQUEST_TIMEOUT,
             Self::NoCatalog
+            | Self::Outdated
             | Self::NoMemory
             | Self::Stopping
             | Self::NoEndpoint
@@ -96,6 +99,7 @@
             Self::NoCatalog => "no_catalog",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
+            Self::Outdated => "outdated",
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::Stalled => "stalled",
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
         relay::{self, BatcherEvent, DrainState, Relay, RelayContext},
         rollout_handle::RolloutHandle,
         settings::{self, Action, Settings},
+        tables_clock::TablesClock,
         telemetry::{Meters, start_logs},
     },
     coord::{
@@ -166,6 +167,7 @@
     let relay_addr = addresses.relay.map(|it| SocketAddr::new(peer_addr.ip(), it.port()));
     let (gate, start) = (SharedGate::default(), Instant::now());
     let rollouts = RolloutHandle::default();
+    let clock = TablesClock::default();
     let load = SharedLoad::new(LoadView::new(settings.load, rand::random()));
     let context = CallerContext {
         inbox: inbox.clone(),
@@ -180,6 +182,7 @@
         let (tables, drain, gate) = (tables_rx, drain.clone(), gate.clone());
         let rollouts = rollouts.clone();
         let load = load.clone();
+        let clock = clock.clone();
         let secret = peer_secret.clone();
         let context = RelayContext {
             settings,
@@ -193,6 +196,7 @@
             gate,
             rollouts,
             load,
+            clock,
             start,
             peer: peer_addr,
             secret,
@@ -233,6 +237,7 @@
         gate,
         rollouts,
         load,
+        clock,
         settings,
         identity,
         disk,
--- a/crates/daemon/tests/relaying/mod.rs
+++ b/crates/daemon/tests/relaying/mod.rs
@@ -11,12 +11,14 @@
         memory::MemoryUse,
         streams::StreamOrigin,
         tables::{Endpoint, Member, Suspects, Tables},
+        time::Time,
     },
     daemon::{
         event::{Event, Inbox},
         memory::{Memory, MemorySettings},
         relay::{BatcherEvent, DrainState, Relay, RelayContext, RelaySettings, serve},
         rollout_handle::RolloutHandle,
+        tables_clock::TablesClock,
     },
     harness::RawResponse,
     standin::{ReceivedRequest, Script, ScriptedEndpoint, Step},
@@ -112,6 +114,9 @@
     let origin: Arc<Mutex<Option<StreamOrigin>>> = Arc::default();
     let (events, core) = sync_channel(16);
     let (suspects, followed_suspects) = watch::channel(Arc::default());
+    // The tables are always current.
+    let clock = TablesClock::default();
+    clock.set(Time(u64::MAX));
     let known = origin.clone();
     thread::spawn(move || {
         for event in core {
@@ -127,6 +132,7 @@
         let relaying = MemoryUse { relays: true, ..MemoryUse::default() };
         LocalSet::new().block_on(&runtime, async move {
             let relay = Relay::start(RelayContext {
+                clock,
                 memory: Memory::new(MemorySettings::default(), relaying),
                 settings: RelaySettings::new(addr),
                 tables: followed,
