Keep the addresses to join if a reload names none

Addresses to join are now replaced by a reload where they were added before, so that a settings file without any would have left an instance without voters nobody to ask.

--- a/crates/coord/src/control/leader_search.rs
+++ b/crates/coord/src/control/leader_search.rs
@@ -108,9 +108,11 @@
         &self.voters
     }
 
-    /// Replaces the addresses to join.
+    /// Replaces the addresses to join. An empty list tells nothing, and changes nothing.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
-        self.seeds = seeds.iter().copied().collect();
+        if !seeds.is_empty() {
+            self.seeds = seeds.iter().copied().collect();
+        }
     }
 
     /// Replaces the instances in the roster.
--- a/crates/coord/tests/leader_search.rs
+++ b/crates/coord/tests/leader_search.rs
@@ -156,6 +156,16 @@
     }
 }
 
+#[test]
+fn addresses_to_join_are_replaced_by_others_but_not_by_none() {
+    let mut search = LeaderSearch::new(addr(OWN), &[addr(10)], 1);
+
+    search.set_seeds(&[addr(20)]);
+    search.set_seeds(&[]);
+
+    assert_eq!(search.draw_seeds(5), [addr(20)]);
+}
+
 /// One that was out of touch while all voters that it knew were replaced.
 #[test]
 fn other_instances_name_the_leader_once_all_known_voters_are_gone() {
