Let a voter's search follow Raft's leader, and an earlier leader's reply set no voters

Read in the diff of the search, not seen: an instance that had joined under an earlier leader and then voted kept that leader in its search, as voters take their leader from Raft. In an election, when Raft knows none, calls would have gone there, to an instance that may have been gone for long, until the next leader was known. The search of a voter now follows Raft's leader. A late reply of an earlier leader could also have put back the voters that it knew; one of an earlier term is left out.

--- a/crates/daemon/src/core/leader.rs
+++ b/crates/daemon/src/core/leader.rs
@@ -35,6 +35,12 @@
             self.send_hellos(now);
             return;
         }
+        if let Some(voter) = &self.voter
+            && let Some(leader) = voter.leader_addr()
+        {
+            // What was found before this instance voted must not come back in an election.
+            self.renewals.search.confirm(now, leader, voter.raft().term());
+        }
         let leader = if self.leads() { Some(self.peer_addr) } else { self.leader_addr() };
         if let Some(leader) = leader.filter(|_| leader != self.renewals.followed) {
             log::info!(leader:% = leader; "[lease] the leader is another one");
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -416,7 +416,8 @@
         let (seq, limits, index) = (reply.seq, reply.limits.take(), reply.index);
         let grants = std::mem::take(&mut reply.rollouts);
         let load = reply.load.take();
-        if let Some(voters) = reply.voters.take() {
+        let is_current = reply.term >= self.renewals.search.term();
+        if let Some(voters) = reply.voters.take().filter(|_| is_current) {
             self.renewals.search.set_voters(voters);
         }
         let change = self.holder.apply_reply(now, sent_at, reply);
@@ -468,11 +469,11 @@
         self.renewals.unsettled.restore(unsettled);
         if latest {
             self.renewals.next_at = now + RETRY_DELAY;
-        }
-        match &failure {
-            _ if !latest => {}
-            Ok(err) => self.renewals.record_failure(now, sent_at, to, err),
-            Err(err) => self.renewals.record_failure(now, sent_at, to, err),
+            let reason: &dyn Display = match &failure {
+                Ok(err) => err,
+                Err(err) => err,
+            };
+            self.renewals.record_failure(now, sent_at, to, reason);
         }
         match failure {
             Ok(RenewError::NotLeader { leader }) => self.on_denial(now, to, leader),
