--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -129,7 +129,7 @@
         self.shared.sources.lock().expect("lock poisoned").insert(pid, fault);
     }
 
-    /// Behaves from now on like the address of a machine without power: neither open nor
+    /// Behaves from now on like the address of a host without power: neither open nor
     /// new connections get an answer or are closed.
     pub fn silence(&self) {
         self.shared.silent.store(true, Ordering::SeqCst);
--- a/crates/harness/tests/soaking/soak.rs
+++ b/crates/harness/tests/soaking/soak.rs
@@ -30,7 +30,8 @@
 const CALLERS_PER_ROUTE: u64 = 4;
 const OPERATORS: u64 = 2;
 /// An instance that is lost counts as a sound voter for this long: its lease and its margin.
-/// No other fault may begin before, as one that lost its disk has the name of the one before.
+/// One that lost its disk has the name of the one before, so that no other fault may begin
+/// until then.
 const LEASE_END: Duration = Duration::from_millis(2700);
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
@@ -175,13 +176,15 @@
             cluster.start(i);
         }
         InstanceFault::Wipe(i) => {
+            let lost_at = Instant::now();
             cluster.kill(i);
             let data = cluster.instances[i].spec.data.clone().expect("a voter has a data folder");
             fs::remove_dir_all(&data).map_err(|err| format!("{}: {err}", data.display()))?;
             // The first instance bootstrapped the system, so it has no addresses to join.
             cluster.instances[i].spec.join = cluster.other_addrs(i);
-            thread::sleep(window.duration.max(LEASE_END));
+            thread::sleep(window.duration);
             cluster.start(i);
+            thread::sleep(LEASE_END.saturating_sub(lost_at.elapsed()));
         }
         InstanceFault::KillAll => {
             let all = 0..cluster.instances.len();
