Log each request that the end of a planned stop cuts off, and what it waits for

The stop's line only counted the unfinished requests, so that the three hypotheses of the incident (waits that know nothing of the stop, answers that come too late, answers that weren't written) looked the same. No decision changes; the state of a stop also tells until when an answer may begin.

--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -33,9 +33,9 @@
     pub(super) fn begin_stop(&mut self, now: Time) {
         if self.stop.is_none() {
             log::info!(held = self.drain.active(); "[stop] A graceful shutdown has started.");
-            self.drain.enter(DrainPhase::Leaving);
             let bound = Duration::from_millis(self.settings.stop_bound.0);
             self.drain.end_at(Instant::now() + bound);
+            self.drain.enter(DrainPhase::Leaving);
             self.stop = Some(Stop { started_at: now, idle_at: None, released: false });
         }
     }
--- a/crates/daemon/src/relay/drain_state.rs
+++ b/crates/daemon/src/relay/drain_state.rs
@@ -8,9 +8,13 @@
         },
         time::{Duration, Instant},
     },
-    tokio::sync::watch,
+    tokio::{sync::watch, time::sleep_until},
 };
 
+/// How long before the end of a graceful shutdown the last answers are begun: a lost segment is
+/// sent again after 200 ms, and after 400 ms more.
+const LAST_ANSWERS: Duration = Duration::from_millis(600);
+
 /// Phase of a graceful shutdown; phases are only entered in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub enum DrainPhase {
@@ -62,6 +66,42 @@
         left.is_some_and(|it| it <= time)
     }
 
+    /// Returns until when an answer must have begun, so that it is whole before the process
+    /// ends; `None` without a graceful shutdown.
+    pub fn answer_by(&self) -> Option<Instant> {
+        self.ends_at.get().map(|it| it.checked_sub(LAST_ANSWERS).unwrap_or(*it))
+    }
+
+    /// Whether an answer that begins after a time is whole before the process ends.
+    pub fn can_answer_in(&self, time: Duration) -> bool {
+        self.answer_by().is_none_or(|it| Instant::now() + time <= it)
+    }
+
+    /// Waits until a graceful shutdown begins.
+    pub async fn begun(&self) {
+        let leaving = |it: &DrainPhase| *it >= DrainPhase::Leaving;
+        // This can't fail: `self` keeps the sender alive.
+        let _ = self.phase.subscribe().wait_for(leaving).await;
+    }
+
+    /// Waits until [`Self::answer_by`].
+    pub async fn last_call(&self) {
+        self.begun().await;
+        match self.answer_by() {
+            Some(it) => sleep_until(it.into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Waits until a graceful shutdown reaches its time limit.
+    pub async fn ended(&self) {
+        self.begun().await;
+        match self.ends_at.get() {
+            Some(it) => sleep_until((*it).into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Waits for [`DrainPhase::Closed`].
     pub async fn closed(&self) {
         // This can't fail: `self` keeps the sender alive.
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -8,6 +8,7 @@
         crash_watch::AttemptWatch,
         front::{RETRY_AFTER_STOPPING, RETRY_AFTER_WITHHELD},
         hand_over::HandOver,
+        progress::Wait,
         record::{RequestRecord, join_parts, log_withheld},
         relay::Relay,
         request::RelayRequest,
@@ -118,7 +119,10 @@
                     _ if unknown => return self.deny(Denial::Unknown),
                     None if self.is_limited() => return self.deny_limited(),
                     None => return self.deny(Denial::NoEndpoint),
-                    Some(it) if self.can_wait(it) => sleep(it).await,
+                    Some(it) if self.can_wait(it) => {
+                        self.record.wait_for(Wait::Pause);
+                        sleep(it).await;
+                    }
                     Some(it) => return self.deny_until(it),
                 }
                 continue;
@@ -254,7 +258,7 @@
     }
 
     async fn send(&mut self, endpoint: &Endpoint, counted: &mut SendGuard) -> Reply {
-        self.record.add_send(endpoint.name.as_str());
+        self.record.add_send(endpoint.name.as_str(), Wait::Endpoint);
         let names = &self.relay.dialect.headers;
         let outgoing = self.request.outgoing(
             names,
@@ -343,6 +347,7 @@
             head.headers.remove(CONTENT_LENGTH);
         }
         self.results.close();
+        self.record.wait_for(Wait::Rest);
         let deadline = self.request.deadline;
         let body = RelayBody::new(body, check, guards, deadline, self.record);
         Response::from_parts(head, stream_body(body))
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -6,6 +6,7 @@
         forward::{Forward, RETRY_AFTER_TRIAL},
         hand_over::{HandOver, RETRY_AFTER_CUT},
         hand_over_mark::{HANDED_OVER, is_handed_over},
+        progress::Wait,
         record::{RequestRecord, log_withheld},
         relay::Relay,
         request::RelayRequest,
@@ -231,19 +232,23 @@
     let mut request = request;
     request.handed = handed;
     request.client = client;
+    let progress = relay.requests.begin(&request.id, request.route.name.as_str(), received);
     if relay.reach.is_cut() {
-        let record = RequestRecord::new(&request, version, relay.series.clone(), guard);
+        let record = RequestRecord::new(&request, version, relay.series.clone(), progress, guard);
         return serve_elsewhere(relay, request, body, record).await;
     }
+    if request.resumption.is_some() {
+        progress.wait_for(Wait::Origin);
+    }
     let bound = bind_stream(relay, &mut request).await;
-    let mut record = RequestRecord::new(&request, version, relay.series.clone(), guard);
+    let mut record = RequestRecord::new(&request, version, relay.series.clone(), progress, guard);
     if let Err(denial) = bound {
         record.finish(denial.name());
         let mut response = deny(denial, Some(RETRY_AFTER_UNRESUMABLE));
         add_request_id(&mut response, &request, &names.request);
         return response;
     }
-    let mut response = match prepare(relay, &request, body).await {
+    let mut response = match prepare(relay, &request, body, &record).await {
         Ok((body, whole, results)) => {
             let relay = relay.clone();
             return Forward { relay, request, body, whole, results, record }.run().await;
@@ -367,7 +372,9 @@
     relay: &Rc<Relay>,
     request: &RelayRequest,
     body: Incoming,
+    record: &RequestRecord,
 ) -> Result<(Bytes, Suspect, StageResults), (Denial, Option<Millis>)> {
+    record.wait_for(Wait::Body);
     let body = read_request(relay, request, body).await.map_err(|it| (it, retry_after(it)))?;
     let whole = Suspect::Request(request.digest(&body));
     let view = relay.view();
@@ -381,6 +388,7 @@
     if !stage_pools.all(may_send) {
         return Err((Denial::Withheld, Some(RETRY_AFTER_TRIAL)));
     }
+    record.wait_for(Wait::Stages);
     let mut results = stages::run(relay, request, &whole, body.len()).await;
     if matches!(results, Err(PieceError::Gone)) {
         results = stages::run(relay, request, &whole, body.len()).await;
--- a/crates/daemon/src/relay/hand_over.rs
+++ b/crates/daemon/src/relay/hand_over.rs
@@ -7,6 +7,7 @@
     super::{
         hand_over_mark::{HANDED_OVER, is_handed_over},
         handed_body::HandedBody,
+        progress::Wait,
         record::RequestRecord,
         relay::Relay,
         request::RelayRequest,
@@ -59,7 +60,7 @@
             if self.may_have_run && !self.relay.spend_retry(&self.request.pool) {
                 return self.deny(Denial::Unknown);
             }
-            self.record.add_send(&addr.to_string());
+            self.record.add_send(&addr.to_string(), Wait::Helper);
             match self.send(connection).await {
                 Ok((response, connection)) if self.may_go_on(&response) => {
                     drop((response, connection));
@@ -136,6 +137,7 @@
         }
         strip_hop_by_hop(&mut head);
         head.headers.remove(HANDED_OVER);
+        self.record.wait_for(Wait::Rest);
         let deadline = self.request.deadline;
         let body = HandedBody::new(body, connection, deadline, self.record);
         Response::from_parts(head, handed_body(body))
--- a/crates/daemon/src/relay/mod.rs
+++ b/crates/daemon/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod notices;
 mod pieces;
 mod placement;
+mod progress;
 mod reach_watch;
 mod record;
 #[allow(clippy::module_inception)]
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -1,7 +1,12 @@
 //! Outcome of relayed requests: one log line and the metrics of each.
 
 use {
-    super::{drain_state::RequestGuard, framing::Framing, request::RelayRequest},
+    super::{
+        drain_state::RequestGuard,
+        framing::Framing,
+        progress::{Progress, Wait},
+        request::RelayRequest,
+    },
     crate::telemetry::SeriesBound,
     coord::{ids::PoolName, tables::Suspect},
     metrics::{counter, histogram},
@@ -45,6 +50,7 @@
     framing: Option<Framing>,
     finished: bool,
     series: Rc<SeriesLabels>,
+    progress: Rc<Progress>,
     _guard: RequestGuard,
 }
 
@@ -54,6 +60,7 @@
         request: &RelayRequest,
         version: u64,
         series: Rc<SeriesLabels>,
+        progress: Rc<Progress>,
         guard: RequestGuard,
     ) -> Self {
         let team = request.team.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string);
@@ -73,13 +80,20 @@
             framing: None,
             finished: false,
             series,
+            progress,
             _guard: guard,
         }
     }
 
-    /// Counts a send to an endpoint.
-    pub fn add_send(&mut self, endpoint: &str) {
+    /// Notes what the request waits for from now on.
+    pub fn wait_for(&self, wait: Wait) {
+        self.progress.wait_for(wait);
+    }
+
+    /// Counts a send to an endpoint or another instance, for whose answer it waits.
+    pub fn add_send(&mut self, endpoint: &str, wait: Wait) {
         self.sends += 1;
+        self.progress.note_send(wait);
         self.endpoint = Some(endpoint.to_owned());
         self.framing = None;
     }
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -5,9 +5,9 @@
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
         batcher::Batchers, batcher_clients::BatcherClients, clock::time_since,
         crash_watch::CrashWatch, endpoint_checks::EndpointChecks, hand_over_mark::hand_over_mark,
-        notices::Notices, placement::LoadGuard, reach_watch::ReachWatch, record::SeriesLabels,
-        request::RelayRequest, rollouts::Rollouts, stream_recorder::StreamRecorder,
-        upstream::Upstream, view::View,
+        notices::Notices, placement::LoadGuard, progress::ProgressTable, reach_watch::ReachWatch,
+        record::SeriesLabels, request::RelayRequest, rollouts::Rollouts,
+        stream_recorder::StreamRecorder, upstream::Upstream, view::View,
     },
     crate::{
         event::Inbox, memory::Memory, rollout_handle::RolloutHandle, tables_clock::TablesClock,
@@ -86,6 +86,8 @@
     pub batchers: Rc<Batchers>,
     pub batcher_clients: BatcherClients,
     pub series: Rc<SeriesLabels>,
+    /// The unfinished requests, and what each waits for.
+    pub requests: Rc<ProgressTable>,
     pub notices: Rc<Notices>,
     pub rollouts: Rc<Rollouts>,
     pub memory: Memory,
@@ -200,6 +202,7 @@
             upstream,
             batcher_clients: BatcherClients::new(secret),
             series: Rc::default(),
+            requests: Rc::default(),
             peer,
             clock,
             placer,
@@ -219,6 +222,7 @@
         tokio::task::spawn_local(relay.clone().watch_tables(tables));
         tokio::task::spawn_local(relay.batchers.clone().serve(batcher_events));
         tokio::task::spawn_local(relay.clone().sweep());
+        tokio::task::spawn_local(relay.clone().watch_stop());
         let source = relay.clone();
         tokio::task::spawn_local(relay.reach.clone().run(move || source.view()));
         relay
@@ -362,6 +366,12 @@
         self.rollouts.reload(tables, uncounted);
     }
 
+    /// Logs the requests that the end of a stop cuts off.
+    async fn watch_stop(self: Rc<Self>) {
+        self.drain.ended().await;
+        self.requests.log_cut_off();
+    }
+
     async fn sweep(self: Rc<Self>) {
         let mut ticks = interval(SWEEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
