Answer each relayed request before a planned stop ends

Cause: waits knew nothing of the stop. The class: a bound that is kept at one point instead of at each wait.

Change: one rule for every wait. Whatever a request waits for, its caller is answered 0.6 s before the process ends: 503 'stopping' if no endpoint may have run it, else 502. Requests that are known to end later are refused as soon as that is known: before their stages, when a stop begins, after each stage, before a pause and before each send, by the expected time to the end of the answer (streams: of whole streams of the route). Stages are due early enough for the stop. Requests that were handed over and are refused by a stopping instance may go on to another.

--- a/crates/coord/src/relay/stage_plan.rs
+++ b/crates/coord/src/relay/stage_plan.rs
@@ -56,6 +56,24 @@
         followers.map(|it| self.path_time(it)).max().unwrap_or_default()
     }
 
+    /// Returns the expected time from now to the end of the last stage. `elapsed` is for how
+    /// long a running stage has run.
+    pub fn time_left(
+        &self,
+        progress: &[StageProgress],
+        elapsed: impl Fn(usize) -> Millis,
+    ) -> Millis {
+        let left = |stage: usize| match progress[stage] {
+            StageProgress::Waiting => self.path_time(stage),
+            StageProgress::Running => {
+                let rest = self.durations[stage].0.saturating_sub(elapsed(stage).0);
+                Millis(rest) + self.time_after(stage)
+            }
+            StageProgress::Done => Millis(0),
+        };
+        (0..self.stages.len()).map(left).max().unwrap_or_default()
+    }
+
     fn path_time(&self, stage: usize) -> Millis {
         self.durations[stage] + self.time_after(stage)
     }
--- a/crates/daemon/src/relay/drain_state.rs
+++ b/crates/daemon/src/relay/drain_state.rs
@@ -60,12 +60,6 @@
         self.ends_at.get_or_init(|| end);
     }
 
-    /// Whether the process may end within a time.
-    pub fn ends_within(&self, time: Duration) -> bool {
-        let left = self.ends_at.get().map(|it| it.saturating_duration_since(Instant::now()));
-        left.is_some_and(|it| it <= time)
-    }
-
     /// Returns until when an answer must have begun, so that it is whole before the process
     /// ends; `None` without a graceful shutdown.
     pub fn answer_by(&self) -> Option<Instant> {
@@ -84,11 +78,12 @@
         let _ = self.phase.subscribe().wait_for(leaving).await;
     }
 
-    /// Waits until [`Self::answer_by`].
-    pub async fn last_call(&self) {
+    /// Waits until an answer that takes `time` from now on wouldn't be whole before the process
+    /// ends.
+    pub async fn last_call(&self, time: Duration) {
         self.begun().await;
         match self.answer_by() {
-            Some(it) => sleep_until(it.into()).await,
+            Some(it) => sleep_until(it.checked_sub(time).unwrap_or_else(Instant::now).into()).await,
             None => std::future::pending().await,
         }
     }
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -3,14 +3,14 @@
 
 use {
     super::{
-        DrainPhase, HeaderNames,
+        HeaderNames,
         body_check::BodyCheck,
         crash_watch::AttemptWatch,
         front::{RETRY_AFTER_STOPPING, RETRY_AFTER_WITHHELD},
         hand_over::HandOver,
         progress::Wait,
         record::{RequestRecord, join_parts, log_withheld},
-        relay::Relay,
+        relay::{Relay, RunTimer},
         request::RelayRequest,
         response::{
             Denial, HoldsRoom, RelayResponse, deny, full_body, stream_body, strip_hop_by_hop,
@@ -94,12 +94,16 @@
         let mut tried: Vec<EndpointName> = Vec::new();
         self.relay.earn_retry(&self.request.pool);
         loop {
+            self.record.set_may_have_run(attempts.may_have_run());
+            if self.would_be_cut_off(Duration::ZERO) {
+                return match attempts.may_have_run() {
+                    true => self.deny(Denial::Unknown),
+                    false => self.deny_stopping(),
+                };
+            }
             if self.may_hand_over(&attempts) {
                 return self.hand_over(attempts.may_have_run()).await;
             }
-            if !attempts.may_have_run() && self.would_be_cut_off() {
-                return self.deny_stopping();
-            }
             let suspects = self.request.parts.iter().chain([&self.whole]);
             let view = self.relay.view();
             if let Some(it) = view.withheld_for(&self.request.pool, suspects) {
@@ -121,8 +125,12 @@
                     None => return self.deny(Denial::NoEndpoint),
                     Some(it) if self.can_wait(it) => {
                         self.record.wait_for(Wait::Pause);
-                        sleep(it).await;
+                        tokio::select! {
+                            () = sleep(it) => {}
+                            () = self.relay.drain.last_call(self.expected_time()) => {}
+                        }
                     }
+                    Some(it) if self.would_be_cut_off(it) => return self.deny_stopping(),
                     Some(it) => return self.deny_until(it),
                 }
                 continue;
@@ -231,11 +239,16 @@
         self.relay.reach.is_cut() && !self.request.handed && repeatable
     }
 
-    /// Whether a graceful shutdown would end before the request does.
-    fn would_be_cut_off(&self) -> bool {
-        let run = self.relay.expected_run_time(&self.request.pool, self.body.len());
-        let drain = &self.relay.drain;
-        drain.phase() == DrainPhase::Closed && drain.ends_within(Duration::from_millis(run.0))
+    /// Whether a graceful shutdown would end before the request does if it is sent after a
+    /// pause.
+    fn would_be_cut_off(&self, pause: Duration) -> bool {
+        !self.relay.drain.can_answer_in(pause + self.expected_time())
+    }
+
+    /// Estimates how long the request takes at an endpoint, to the end of its answer.
+    fn expected_time(&self) -> Duration {
+        let time = self.relay.expected_whole_time(&self.request, self.body.len());
+        Duration::from_millis(time.0)
     }
 
     async fn hand_over(self, may_have_run: bool) -> RelayResponse {
@@ -247,7 +260,8 @@
     /// Whether the request can run after this time and still meet its deadline.
     fn can_wait(&self, time: Duration) -> bool {
         let run = self.relay.expected_run_time(&self.request.pool, self.body.len());
-        let waits = time + Duration::from_millis(run.0) <= self.request.remaining();
+        let waits = time + Duration::from_millis(run.0) <= self.request.remaining()
+            && !self.would_be_cut_off(time);
         log::info!(
             request = self.request.id.as_str(), pool:% = self.request.pool,
             left_ms = self.request.remaining().as_millis() as u64,
@@ -349,7 +363,8 @@
         self.results.close();
         self.record.wait_for(Wait::Rest);
         let deadline = self.request.deadline;
-        let body = RelayBody::new(body, check, guards, deadline, self.record);
+        let timer = RunTimer::start(&self.relay, &self.request, self.body.len());
+        let body = RelayBody::new(body, check, guards, timer, deadline, self.record);
         Response::from_parts(head, stream_body(body))
     }
 
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -13,7 +13,7 @@
         response::{
             Denial, HoldsRoom, RelayResponse, add_connection_close, add_request_id, deny, full_body,
         },
-        stages::{self, StageResults},
+        stages::{self, StageResults, StagesError},
         upstream::configure_socket,
     },
     crate::{
@@ -189,7 +189,12 @@
 pub const RETRY_AFTER_WITHHELD: Millis = Millis(60_000);
 
 async fn handle(relay: Rc<Relay>, request: Request<Incoming>) -> RelayResponse {
+    let is_handed = is_handed_over(request.headers(), &relay.mark);
     let mut response = relay_request(&relay, request).await;
+    if is_handed && response.extensions().get() == Some(&Denial::Stopping) {
+        // Another instance may be tried.
+        response.headers_mut().insert(HANDED_OVER, relay.mark.clone());
+    }
     let is_stalled = response.status() == Denial::Stalled.status();
     if is_stalled || relay.drain.phase() != DrainPhase::Open {
         add_connection_close(&mut response);
@@ -233,21 +238,42 @@
     request.handed = handed;
     request.client = client;
     let progress = relay.requests.begin(&request.id, request.route.name.as_str(), received);
+    let record =
+        RequestRecord::new(&request, version, relay.series.clone(), progress.clone(), guard);
+    let mut serving = Box::pin(serve_request(relay, request, body, record));
+    tokio::select! {
+        response = &mut serving => return response,
+        () = relay.drain.last_call(Duration::ZERO) => {}
+    }
+    // Whatever the request waits for, its caller must have an answer before the process ends.
+    let denial = progress.stop();
+    drop(serving);
+    let mut response = deny(denial, retry_after(denial));
+    add_request_id(&mut response, progress.request(), &names.request);
+    response
+}
+
+/// Serves a request that is allowed, here or at another instance.
+async fn serve_request(
+    relay: &Rc<Relay>,
+    mut request: RelayRequest,
+    body: Incoming,
+    mut record: RequestRecord,
+) -> RelayResponse {
     if relay.reach.is_cut() {
-        let record = RequestRecord::new(&request, version, relay.series.clone(), progress, guard);
         return serve_elsewhere(relay, request, body, record).await;
     }
+    let name = &relay.dialect.headers.request;
     if request.resumption.is_some() {
-        progress.wait_for(Wait::Origin);
+        record.wait_for(Wait::Origin);
     }
-    let bound = bind_stream(relay, &mut request).await;
-    let mut record = RequestRecord::new(&request, version, relay.series.clone(), progress, guard);
-    if let Err(denial) = bound {
+    if let Err(denial) = bind_stream(relay, &mut request).await {
         record.finish(denial.name());
         let mut response = deny(denial, Some(RETRY_AFTER_UNRESUMABLE));
-        add_request_id(&mut response, &request, &names.request);
+        add_request_id(&mut response, &request.id, name);
         return response;
     }
+    record.set_pool(&request.pool);
     let mut response = match prepare(relay, &request, body, &record).await {
         Ok((body, whole, results)) => {
             let relay = relay.clone();
@@ -258,7 +284,7 @@
             deny(denial, after)
         }
     };
-    add_request_id(&mut response, &request, &names.request);
+    add_request_id(&mut response, &request.id, name);
     response
 }
 
@@ -321,7 +347,7 @@
     if request.handed {
         record.finish(Denial::NoEndpoint.name());
         let mut response = deny(Denial::NoEndpoint, Some(RETRY_AFTER_CUT));
-        add_request_id(&mut response, &request, name);
+        add_request_id(&mut response, &request.id, name);
         response.headers_mut().insert(HANDED_OVER, relay.mark.clone());
         return response;
     }
@@ -333,7 +359,7 @@
         Err(denial) => {
             record.finish(denial.name());
             let mut response = deny(denial, retry_after(denial));
-            add_request_id(&mut response, &request, name);
+            add_request_id(&mut response, &request.id, name);
             response
         }
     }
@@ -368,6 +394,9 @@
 }
 
 /// Reads the body and runs the stages, a second time if a result was lost.
+///
+/// # Errors
+/// The request can't be passed on; it has not run.
 async fn prepare(
     relay: &Rc<Relay>,
     request: &RelayRequest,
@@ -390,12 +419,15 @@
     }
     record.wait_for(Wait::Stages);
     let mut results = stages::run(relay, request, &whole, body.len()).await;
-    if matches!(results, Err(PieceError::Gone)) {
+    if matches!(results, Err(StagesError::Failed(PieceError::Gone))) {
         results = stages::run(relay, request, &whole, body.len()).await;
     }
     match results {
         Ok(it) => Ok((body, whole, it)),
-        Err(PieceError::Late) => Err((Denial::TooLate, Some(RETRY_AFTER_STAGES))),
-        Err(_) => Err((Denial::NoEndpoint, Some(RETRY_AFTER_STAGES))),
+        Err(StagesError::Stopping) => Err((Denial::Stopping, Some(RETRY_AFTER_STOPPING))),
+        Err(StagesError::Failed(PieceError::Late)) => {
+            Err((Denial::TooLate, Some(RETRY_AFTER_STAGES)))
+        }
+        Err(StagesError::Failed(_)) => Err((Denial::NoEndpoint, Some(RETRY_AFTER_STAGES))),
     }
 }
--- a/crates/daemon/src/relay/hand_over.rs
+++ b/crates/daemon/src/relay/hand_over.rs
@@ -51,6 +51,7 @@
                 left_ms = self.request.remaining().as_millis() as u64;
                 "[relay] handed over"
             );
+            self.record.set_may_have_run(self.may_have_run);
             let connected =
                 timeout_at(self.request.deadline.into(), self.relay.upstream.connect(addr)).await;
             let Ok(Ok(connection)) = connected else {
@@ -147,7 +148,7 @@
         self.record.finish(denial.name());
         let not_run = denial.status() == StatusCode::SERVICE_UNAVAILABLE;
         let mut response = deny(denial, not_run.then_some(RETRY_AFTER_CUT));
-        add_request_id(&mut response, &self.request, &self.relay.dialect.headers.request);
+        add_request_id(&mut response, &self.request.id, &self.relay.dialect.headers.request);
         response
     }
 }
--- a/crates/daemon/src/relay/progress.rs
+++ b/crates/daemon/src/relay/progress.rs
@@ -1,6 +1,7 @@
 //! What the relayed requests of this instance wait for.
 
 use {
+    super::response::Denial,
     indexmap::IndexMap,
     metrics::counter,
     std::{
@@ -54,21 +55,49 @@
     received: Instant,
     wait: Cell<(Wait, Instant)>,
     sends: Cell<u32>,
+    /// Whether an endpoint may have run it.
+    may_have_run: Cell<bool>,
+    /// Set if a stop ended it before its answer began.
+    stopped: Cell<Option<Denial>>,
     table: Weak<ProgressTable>,
     key: u64,
 }
 
 impl Progress {
+    /// Returns the id of the request.
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Notes what the request waits for from now on.
     pub fn wait_for(&self, wait: Wait) {
         self.wait.set((wait, Instant::now()));
     }
 
-    /// Notes that the request is sent to an endpoint or another instance.
+    /// Notes that the request is sent to an endpoint or another instance, which may run it.
     pub fn note_send(&self, wait: Wait) {
         self.sends.set(self.sends.get() + 1);
+        self.may_have_run.set(true);
         self.wait_for(wait);
     }
+
+    /// Sets whether an endpoint may have run the request, once the outcome of a send is known.
+    pub fn set_may_have_run(&self, may_have_run: bool) {
+        self.may_have_run.set(may_have_run);
+    }
+
+    /// Notes that a stop ends the request before its answer began. Returns what its caller is
+    /// told.
+    pub fn stop(&self) -> Denial {
+        let denial = if self.may_have_run.get() { Denial::Unknown } else { Denial::Stopping };
+        self.stopped.set(Some(denial));
+        denial
+    }
+
+    /// Returns what the caller was told if a stop ended the request.
+    pub fn stopped(&self) -> Option<Denial> {
+        self.stopped.get()
+    }
 }
 
 impl Drop for Progress {
@@ -98,6 +127,8 @@
             received,
             wait: Cell::new((Wait::Body, received)),
             sends: Cell::new(0),
+            may_have_run: Cell::new(false),
+            stopped: Cell::new(None),
             table: Rc::downgrade(self),
             key,
         });
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -6,6 +6,7 @@
         framing::Framing,
         progress::{Progress, Wait},
         request::RelayRequest,
+        response::Denial,
     },
     crate::telemetry::SeriesBound,
     coord::{ids::PoolName, tables::Suspect},
@@ -85,11 +86,21 @@
         }
     }
 
+    /// Sets the pool, which what a stream came from may decide.
+    pub fn set_pool(&mut self, pool: &PoolName) {
+        self.pool = pool.to_string();
+    }
+
     /// Notes what the request waits for from now on.
     pub fn wait_for(&self, wait: Wait) {
         self.progress.wait_for(wait);
     }
 
+    /// Sets whether an endpoint may have run the request, once the outcome of a send is known.
+    pub fn set_may_have_run(&self, may_have_run: bool) {
+        self.progress.set_may_have_run(may_have_run);
+    }
+
     /// Counts a send to an endpoint or another instance, for whose answer it waits.
     pub fn add_send(&mut self, endpoint: &str, wait: Wait) {
         self.sends += 1;
@@ -172,6 +183,6 @@
 
 impl Drop for RequestRecord {
     fn drop(&mut self) {
-        self.finish("caller_left");
+        self.finish(self.progress.stopped().map_or("caller_left", Denial::name));
     }
 }
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -43,6 +43,8 @@
 /// Estimator key for the time of a relayed request at its endpoint, from
 /// sending it to receiving the response head.
 const RUN_STAGE: &str = "run";
+/// Estimator key for the whole time of a streamed answer, by its route.
+const STREAM_STAGE: &str = "stream";
 /// Assumed run time until enough requests are measured: one long prompt at a
 /// busy engine.
 const RUN_TIME_DEFAULT: Millis = Millis(200);
@@ -111,6 +113,37 @@
     pub(super) start: Instant,
 }
 
+/// Measures how long a streamed answer takes.
+pub struct RunTimer {
+    relay: Rc<Relay>,
+    pool: PoolName,
+    stage: StageName,
+    size: usize,
+    began: Instant,
+}
+
+impl RunTimer {
+    /// Starts with the head of an answer to a request with a body of `size` bytes.
+    pub fn start(relay: &Rc<Relay>, request: &RelayRequest, size: usize) -> Self {
+        let (relay, stage) = (relay.clone(), stream_stage(request));
+        Self { relay, pool: request.pool.clone(), stage, size, began: Instant::now() }
+    }
+
+    /// Records a whole answer.
+    pub fn close(self) {
+        let took = Millis(self.began.elapsed().as_millis() as u64);
+        self.relay.run_times.borrow_mut().record(&self.pool, &self.stage, self.size, took);
+    }
+}
+
+/// Returns the estimator key of a request's streamed answer: routes of one pool may differ in
+/// how long theirs are.
+fn stream_stage(request: &RelayRequest) -> StageName {
+    let name = format!("{STREAM_STAGE}-{}", request.route.name);
+    let plain = || STREAM_STAGE.parse().expect("the name is valid");
+    name.parse().unwrap_or_else(|_| plain())
+}
+
 /// The requests in flight at endpoints that are counted for rollouts.
 type Counted = Rc<RefCell<HashMap<EndpointName, u32>>>;
 
@@ -277,6 +310,18 @@
         self.run_times.borrow().typical_max(pool, &self.run_stage, size).unwrap_or(RUN_TIME_DEFAULT)
     }
 
+    /// Estimates how long a request with a body of `size` bytes takes at its pool, to the end of
+    /// its answer.
+    pub fn expected_whole_time(&self, request: &RelayRequest, size: usize) -> Millis {
+        let run = self.expected_run_time(&request.pool, size);
+        if !request.route.retry.is_stream() {
+            return run;
+        }
+        let times = self.run_times.borrow();
+        let rest = times.typical_max(&request.pool, &stream_stage(request), size);
+        run + rest.unwrap_or_default()
+    }
+
     /// Records how long pieces of a priority wait in a shard's queue.
     pub fn record_wait(&self, shard: &Shard, priority: u8, wait: Millis) {
         self.queue_waits.borrow_mut().record(self.now(), shard, priority, wait);
--- a/crates/daemon/src/relay/response.rs
+++ b/crates/daemon/src/relay/response.rs
@@ -1,11 +1,7 @@
 //! Responses to callers.
 
 use {
-    super::{
-        handed_body::HandedBody,
-        request::{RelayRequest, connection_options},
-        stream::RelayBody,
-    },
+    super::{handed_body::HandedBody, request::connection_options, stream::RelayBody},
     coord::time::Millis,
     http_body_util::{Either, Full},
     hyper::{
@@ -118,8 +114,8 @@
     }
 }
 
-/// Builds a response for a request without an endpoint's response. `retry_after`
-/// becomes the `Retry-After` header, in seconds with two decimals.
+/// Builds a response for a request without an endpoint's response, with the denial as an
+/// extension. `retry_after` becomes the `Retry-After` header, in seconds with two decimals.
 pub fn deny(denial: Denial, retry_after: Option<Millis>) -> RelayResponse {
     let mut response =
         Response::builder().status(denial.status()).header(CONTENT_TYPE, "text/plain");
@@ -127,7 +123,7 @@
         response = response.header(RETRY_AFTER, format!("{:.2}", wait.0 as f64 / 1000.0));
     }
     let text = Bytes::from_static(denial.name().as_bytes());
-    response.body(full_body(text)).expect("the response head is valid")
+    response.extension(denial).body(full_body(text)).expect("the response head is valid")
 }
 
 /// Creates a body from bytes that are all available.
@@ -168,8 +164,8 @@
 }
 
 /// Adds the id of the caller's attempt to a response.
-pub fn add_request_id(response: &mut RelayResponse, request: &RelayRequest, name: &HeaderName) {
-    if let Ok(value) = request.id.parse() {
+pub fn add_request_id(response: &mut RelayResponse, request: &str, name: &HeaderName) {
+    if let Ok(value) = request.parse() {
         response.headers_mut().insert(name, value);
     }
 }
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -21,7 +21,7 @@
 
 /// How much earlier than needed stages aim to finish, since the durations of the
 /// following steps vary.
-const TARGET_MARGIN: Duration = Duration::from_millis(100);
+const TARGET_MARGIN: Millis = Millis(100);
 /// Limit on batchers tried per shard.
 const MAX_BATCHERS: usize = 2;
 /// Limit on shards tried per stage.
@@ -29,6 +29,14 @@
 /// Limit on stage requests sent per stage; each may cost a connection timeout.
 const MAX_REQUESTS: usize = 3;
 
+/// Why the stages of a request have no results.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StagesError {
+    Failed(PieceError),
+    /// A graceful shutdown of this instance would end before the request does.
+    Stopping,
+}
+
 /// Results of one stage, with the batcher that produced them.
 struct StageOutput {
     shard: Shard,
@@ -99,27 +107,51 @@
     request: &RelayRequest,
     whole: &Suspect,
     size: usize,
-) -> Result<StageResults, PieceError> {
+) -> Result<StageResults, StagesError> {
     let run_time = relay.expected_run_time(&request.pool, size);
+    let whole_time = relay.expected_whole_time(request, size);
     let route = &request.route;
     let mut results = StageResults {
         relay: relay.clone(),
         stages: route.stages.iter().map(|_| None).collect(),
         last: route.final_stages().collect(),
     };
-    let plan = StagePlan::new(&route.stages, stage_durations(relay, request));
+    let mut plan = StagePlan::new(&route.stages, stage_durations(relay, request));
     let mut progress = vec![StageProgress::Waiting; route.stages.len()];
+    let mut began = vec![Instant::now(); route.stages.len()];
     let mut running = JoinSet::new();
+    let mut stopping = relay.drain.answer_by().is_some();
     loop {
+        let elapsed = |it: usize| Millis(began[it].elapsed().as_millis() as u64);
+        if !relay.drain.can_answer_in(to_duration(plan.time_left(&progress, elapsed) + whole_time))
+        {
+            return Err(StagesError::Stopping);
+        }
         for stage in plan.ready(&progress) {
             progress[stage] = StageProgress::Running;
-            let time_after = plan.time_after(stage) + run_time;
-            let mut job = StageJob::new(relay, request, &results, stage, time_after);
+            began[stage] = Instant::now();
+            let after = plan.time_after(stage);
+            let due = Due {
+                target: time_before(request.target, after + run_time + TARGET_MARGIN),
+                deadline: time_before(request.deadline, after + run_time),
+                stop: relay.drain.answer_by().map(|it| time_before(it, after + whole_time)),
+            };
+            let mut job = StageJob::new(relay, request, &results, stage, due);
             job.stage_request.whole = Some(whole.clone());
             let relay = relay.clone();
             running.spawn_local(async move { (stage, job.run(relay).await) });
         }
-        let Some(ended) = running.join_next().await else {
+        let least = plan.time_left(&progress, |_| Millis(u64::MAX)) + whole_time;
+        let ended = tokio::select! {
+            it = running.join_next() => it,
+            () = relay.drain.begun(), if !stopping => {
+                stopping = true;
+                plan = StagePlan::new(&route.stages, stage_durations(relay, request));
+                continue;
+            }
+            () = relay.drain.last_call(to_duration(least)) => return Err(StagesError::Stopping),
+        };
+        let Some(ended) = ended else {
             return Ok(results);
         };
         let (stage, output) = ended.expect("a stage's task neither panics nor is aborted");
@@ -129,6 +161,15 @@
     }
 }
 
+fn to_duration(time: Millis) -> Duration {
+    Duration::from_millis(time.0)
+}
+
+/// Returns the time that is so long before another, or now if there is none.
+fn time_before(at: Instant, time: Millis) -> Instant {
+    at.checked_sub(to_duration(time)).unwrap_or_else(Instant::now)
+}
+
 /// Returns the expected duration of each stage: the wait in the queue and one full
 /// call, since pieces of other requests fill the call up.
 fn stage_durations(relay: &Relay, request: &RelayRequest) -> Vec<Millis> {
@@ -173,11 +214,32 @@
     }
 }
 
+/// When the results of a stage are due.
+struct Due {
+    /// So that the request meets its target.
+    target: Instant,
+    /// So that it ends before its deadline.
+    deadline: Instant,
+    /// So that it ends before a graceful shutdown does.
+    stop: Option<Instant>,
+}
+
+impl Due {
+    /// Whether the stop leaves less time than the deadline.
+    fn is_stop_first(&self) -> bool {
+        self.stop.is_some_and(|it| it < self.deadline)
+    }
+
+    /// Returns after when the results are useless.
+    fn last(&self) -> Instant {
+        self.stop.map_or(self.deadline, |it| it.min(self.deadline))
+    }
+}
+
 /// One stage of one request.
 struct StageJob {
     stage_request: StageRequest,
-    target: Instant,
-    deadline: Instant,
+    due: Due,
     /// Batchers to try, with the shard that each serves, in order.
     candidates: Vec<(Shard, SocketAddr)>,
 }
@@ -188,7 +250,7 @@
         request: &RelayRequest,
         results: &StageResults,
         stage: usize,
-        time_after: Millis,
+        due: Due,
     ) -> Self {
         let view = relay.view();
         let spec = &request.route.stages[stage];
@@ -197,7 +259,6 @@
             true => PieceInput::Source(request.source.clone()),
             false => PieceInput::Results(inputs.flat_map(StageOutput::handles).collect()),
         };
-        let time_after = Duration::from_millis(time_after.0);
         let shards = relay.shards(&spec.pool, request);
         let batchers = |shard: &Shard| {
             let batchers = view.batchers(shard);
@@ -224,18 +285,10 @@
             target: Millis(0),
             deadline: Millis(0),
         };
-        Self {
-            stage_request,
-            target: request
-                .target
-                .checked_sub(time_after + TARGET_MARGIN)
-                .unwrap_or(request.received),
-            deadline: request.deadline.checked_sub(time_after).unwrap_or(request.received),
-            candidates,
-        }
+        Self { stage_request, due, candidates }
     }
 
-    async fn run(mut self, relay: Rc<Relay>) -> Result<StageOutput, PieceError> {
+    async fn run(mut self, relay: Rc<Relay>) -> Result<StageOutput, StagesError> {
         let began = Instant::now();
         let (mut shard, mut batcher) = (self.stage_request.shard.clone(), relay.peer);
         if self.stage_request.count == 0 {
@@ -270,13 +323,17 @@
             took_ms = began.elapsed().as_millis() as u64;
             "[relay] stage ended"
         );
-        answer.map(|results| StageOutput { shard, batcher, results })
+        match answer {
+            Ok(results) => Ok(StageOutput { shard, batcher, results }),
+            Err(PieceError::Late) if self.due.is_stop_first() => Err(StagesError::Stopping),
+            Err(err) => Err(StagesError::Failed(err)),
+        }
     }
 
     async fn submit(&self, relay: &Rc<Relay>, shard: &Shard, batcher: SocketAddr) -> StageReply {
         let now = Instant::now();
         let left = |until: Instant| Millis(until.saturating_duration_since(now).as_millis() as u64);
-        let (target, deadline) = (left(self.target), left(self.deadline));
+        let (target, deadline) = (left(self.due.target), left(self.due.last()));
         let request =
             StageRequest { shard: shard.clone(), target, deadline, ..self.stage_request.clone() };
         match batcher == relay.peer {
--- a/crates/daemon/src/relay/stream.rs
+++ b/crates/daemon/src/relay/stream.rs
@@ -2,8 +2,13 @@
 
 use {
     super::{
-        body_check::BodyCheck, crash_watch::AttemptWatch, record::RequestRecord,
-        relay::InFlightGuard, rollouts::SendGuard, stream_recorder::StreamGuard, upstream::Lease,
+        body_check::BodyCheck,
+        crash_watch::AttemptWatch,
+        record::RequestRecord,
+        relay::{InFlightGuard, RunTimer},
+        rollouts::SendGuard,
+        stream_recorder::StreamGuard,
+        upstream::Lease,
     },
     coord::relay::EventScanner,
     hyper::body::{Body, Bytes, Frame, Incoming, SizeHint},
@@ -35,6 +40,7 @@
     lease: Option<Lease>,
     watch: Option<Box<AttemptWatch>>,
     stream: Option<StreamGuard>,
+    timer: Option<RunTimer>,
     deadline: Pin<Box<Sleep>>,
     record: RequestRecord,
     send: SendGuard,
@@ -47,6 +53,7 @@
         inner: Incoming,
         check: BodyCheck,
         guards: StreamGuards,
+        timer: RunTimer,
         deadline: Instant,
         record: RequestRecord,
     ) -> Self {
@@ -58,6 +65,7 @@
             lease: Some(lease),
             watch: Some(watch),
             stream: Some(stream),
+            timer: Some(timer),
             deadline,
             record,
             send,
@@ -101,6 +109,9 @@
         if let Some(stream) = self.stream.take() {
             stream.close();
         }
+        if let Some(timer) = self.timer.take() {
+            timer.close();
+        }
         self.record.finish("whole");
     }
 
