End a planned stop only when callers' kernels have taken their answers

The relay now counts callers' connections from their first request to their end; hyper ends them after new requests are refused, as soon as the last byte is written. A stop waits for them, until its time limit at the latest, and says how many are open if that passes.

The new test in daemon/tests/stops.rs can't be built on the code before, which counted no connections. harness/tests/stop.rs passes.

--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -54,15 +54,15 @@
         }
         let timed_out = elapsed >= self.settings.stop_bound;
         let first = stop.idle_at.is_none();
-        let relayed = self.drain.active();
-        let busy = !self.router.is_idle() || self.has_settlements() || relayed > 0;
+        let (relayed, open) = (self.drain.active(), self.drain.open());
+        let busy = !self.router.is_idle() || self.has_settlements() || relayed + open > 0;
         if busy && !timed_out {
             return;
         }
         if busy && first {
             log::warn!(
                 "[stop] The time limit has passed with {} requests unfinished, {relayed} of them \
-                 relayed.",
+                 relayed, and {open} connections of callers open.",
                 self.router.len() + relayed
             );
         }
--- a/crates/daemon/src/relay/drain_state.rs
+++ b/crates/daemon/src/relay/drain_state.rs
@@ -28,11 +28,12 @@
     Closed,
 }
 
-/// The phase of a graceful shutdown and the number of active relayed requests.
+/// The phase of a graceful shutdown, and what it has to wait for.
 #[derive(Debug, Default)]
 pub struct DrainState {
     phase: watch::Sender<DrainPhase>,
     active: AtomicUsize,
+    open: AtomicUsize,
     /// When the process ends at the latest.
     ends_at: OnceLock<Instant>,
 }
@@ -40,6 +41,9 @@
 /// Counts one request as active until dropped.
 pub struct RequestGuard(Arc<DrainState>);
 
+/// Counts a caller's connection as open until dropped.
+pub struct OpenGuard(Arc<DrainState>);
+
 impl DrainState {
     /// Enters a phase; an earlier phase than the current one is ignored.
     pub fn enter(&self, phase: DrainPhase) {
@@ -108,6 +112,19 @@
         self.active.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of callers' connections that brought a request and haven't ended.
+    /// Those without a request under way end when new requests are refused, the others once
+    /// the kernel has taken their answers.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Counts a caller's connection as open until the guard is dropped.
+    pub fn open_connection(self: &Arc<Self>) -> OpenGuard {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenGuard(self.clone())
+    }
+
     /// Counts a request as active until the guard is dropped.
     pub fn track(self: &Arc<Self>) -> RequestGuard {
         self.active.fetch_add(1, Ordering::Relaxed);
@@ -115,6 +132,12 @@
     }
 }
 
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.0.active.fetch_sub(1, Ordering::Relaxed);
--- a/crates/daemon/tests/stops.rs
+++ b/crates/daemon/tests/stops.rs
@@ -13,6 +13,7 @@
         Fixture, call, catalog, connect, endpoint, healthy, read_response, request, route,
         scripted, signed_ok, stage, start,
     },
+    socket2::{Domain, Socket, Type},
     standin::{ScriptedEndpoint, Step},
     std::{
         io::Write,
@@ -70,6 +71,16 @@
     stream
 }
 
+/// Opens a connection of a caller whose kernel takes few bytes that it hasn't read.
+fn connect_with_buffer(relay: &Fixture, bytes: usize) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(bytes).expect("a buffer size can be set");
+    socket.connect(&relay.addr.into()).expect("the relay listens");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(LONG_TIMEOUT)).expect("a timeout can be set");
+    stream
+}
+
 /// Begins a shutdown and returns when it ends.
 fn stop(relay: &Fixture) -> Instant {
     let end = Instant::now() + STOP_BOUND;
@@ -228,3 +239,23 @@
         [(200, "fine".to_owned()), (200, "fine".to_owned())]
     );
 }
+
+#[test]
+fn a_stop_waits_until_callers_have_taken_their_answers() {
+    let size = 3 << 20;
+    let app = scripted(move |seen, _| vec![Step::Send(signed_ok(seen, &"x".repeat(size)))]);
+    let relay = start(catalog(route(RetryPolicy::Once)), &[endpoint("e", "app", app.addr)]);
+    let mut slow = connect_with_buffer(&relay, 4096);
+    slow.write_all(request("id", "", "").as_bytes()).expect("the request is sent");
+    wait_until("the request is passed on", LONG_TIMEOUT, || !app.received().is_empty());
+    wait_until("the answer is there", LONG_TIMEOUT, || relay.drain.active() == 0);
+
+    stop(&relay);
+    relay.drain.enter(DrainPhase::Closed);
+    let open = relay.drain.open();
+    let got = read_response(&mut slow);
+
+    assert_eq!(open, 1);
+    assert_eq!((got.status, got.body.len(), got.complete), (200, size, true));
+    wait_until("the connection has ended", LONG_TIMEOUT, || relay.drain.open() == 0);
+}
