Let callers stop reading for longer than endpoints may be silent

Cause: TCP_USER_TIMEOUT of 2 s, meant for endpoints that vanish, was set on callers' connections too. The kernel counts it for a full window as well as for a lost one, so that it ended answers whose bound was the write timeout of 10 s. The class: a wait that is bounded by something other than what ends it.

Change: each kind of connection has its own bounds in sockets.rs. Those of endpoints stay; callers have no user timeout. One that never reads is bounded by the write timeouts, as before.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod rollout_handle;
 pub mod run;
 pub mod settings;
+mod sockets;
 pub mod tables_clock;
 pub mod telemetry;
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -14,13 +14,13 @@
             Denial, HoldsRoom, RelayResponse, add_connection_close, add_request_id, deny, full_body,
         },
         stages::{self, StageResults, StagesError},
-        upstream::configure_socket,
     },
     crate::{
         chunk_support::ChunkSupport,
         memory::{
             BodyBounds, BodyError, GuardedBody, GuardedStream, Memory, client_addr, read_body,
         },
+        sockets::SocketBounds,
     },
     coord::{
         admission::RetryTime,
@@ -129,7 +129,7 @@
 }
 
 async fn serve_caller(relay: Rc<Relay>, stream: GuardedStream) {
-    if let Err(err) = configure_socket(stream.tcp()) {
+    if let Err(err) = SocketBounds::CALLER.apply(stream.tcp()) {
         log::info!(error:% = err; "[relay] connection lost before its first request");
         return;
     }
--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -9,6 +9,7 @@
     crate::{
         crash_check::{CHECK_TIMEOUT, is_refusal},
         memory::{Descriptor, Descriptors, note_refusal},
+        sockets::SocketBounds,
     },
     coord::{
         ids::EndpointName,
@@ -26,7 +27,6 @@
     },
     hyper_util::rt::TokioIo,
     snafu::Snafu,
-    socket2::{SockRef, TcpKeepalive},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -45,11 +45,6 @@
 /// Connect timeout: several round trips between failure domains, but shorter
 /// than the retransmission of a lost SYN.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long sent data may stay unacknowledged; longer than one retransmission.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2000);
-/// Idle time before the first TCP keepalive probe and the interval of probes;
-/// two unanswered probes close the connection.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle timeout of connections whose endpoint sends no `Keep-Alive` timeout.
 const IDLE_TIMEOUT_DEFAULT: Millis = Millis(1000);
 /// Subtracted from the endpoint's idle timeout, so that a request isn't sent
@@ -237,7 +232,7 @@
                 tokio::task::spawn_local(it.check_restart(known, is_broken));
             }
         };
-        let connection = self.open(endpoint.addr, on_end).await?;
+        let connection = self.open(endpoint.addr, SocketBounds::ENDPOINT, on_end).await?;
         Ok(Connection { closes, ..connection })
     }
 
@@ -284,17 +279,19 @@
         self.notices.note_refusal(endpoint);
     }
 
-    /// Opens a connection. If there is no descriptor for it, the oldest idle one is closed.
+    /// Opens a connection to another instance. If there is no descriptor for it, the oldest idle
+    /// one is closed.
     ///
     /// # Errors
     /// It can't be made in time, or there is no descriptor.
     pub async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
-        self.open(addr, |_| ()).await
+        self.open(addr, SocketBounds::ENDPOINT, |_| ()).await
     }
 
     async fn open(
         &self,
         addr: SocketAddr,
+        bounds: SocketBounds,
         on_end: impl FnOnce(bool) + 'static,
     ) -> Result<Connection, SendError> {
         let descriptor = self.descriptors.take(ConnectionClass::Endpoints).or_else(|| {
@@ -305,7 +302,7 @@
             note_refusal("endpoints", "no_descriptor", Some(addr));
             return Err(SendError::NoDescriptor);
         };
-        let connection = connect(addr, on_end).await?;
+        let connection = connect(addr, bounds, on_end).await?;
         Ok(Connection { _descriptor: Some(descriptor), ..connection })
     }
 
@@ -443,6 +440,7 @@
 /// It can't be made in time.
 async fn connect(
     addr: SocketAddr,
+    bounds: SocketBounds,
     on_end: impl FnOnce(bool) + 'static,
 ) -> Result<Connection, SendError> {
     let failed = |source| SendError::Connect { source };
@@ -450,7 +448,7 @@
         Ok(it) => it.map_err(failed)?,
         Err(_) => return Err(failed(io::ErrorKind::TimedOut.into())),
     };
-    configure_socket(&stream).map_err(failed)?;
+    bounds.apply(&stream).map_err(failed)?;
     let mut client = http1::Builder::new();
     client.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
     let stream = SharedStream::new(stream);
@@ -472,19 +470,6 @@
     })
 }
 
-/// Disables Nagle's algorithm and enables the user timeout and keepalive
-/// probes, so that the kernel detects a dead peer.
-pub fn configure_socket(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&probes)
-}
-
 /// Returns how long the connection may stay idle after this response; `None`
 /// if it must not be reused.
 fn idle_timeout(headers: &HeaderMap) -> Option<Millis> {
