Let instances refuse long bodies that are handed to them

A request with a long body that an instance cut off from its endpoints handed to another, which had no room for it, was answered 502 'unknown' where the other refuses it truly.

Cause: an instance leaves a body unread for 2 s before it refuses, and the hand-over's connection had the TCP_USER_TIMEOUT of 2 s of endpoints, which counts a full window. Which came first was left to chance.

Change: connections between instances for hand-overs have a user timeout of 4 s. An instance that vanishes within a hand-over is noticed that much later.

--- a/crates/daemon/src/relay/upstream.rs
+++ b/crates/daemon/src/relay/upstream.rs
@@ -285,7 +285,7 @@
     /// # Errors
     /// It can't be made in time, or there is no descriptor.
     pub async fn connect(&self, addr: SocketAddr) -> Result<Connection, SendError> {
-        self.open(addr, SocketBounds::ENDPOINT, |_| ()).await
+        self.open(addr, SocketBounds::HELPER, |_| ()).await
     }
 
     async fn open(
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -33,6 +33,10 @@
         max_probes: 2,
     };
 
+    /// An instance that a request is handed to may leave a long body unread for 2 s, until there is
+    /// room for it, before it refuses.
+    pub const HELPER: Self = Self { user_timeout: Some(Duration::from_secs(4)), ..Self::ENDPOINT };
+
     /// Sets the bounds of a connection and disables Nagle's algorithm.
     ///
     /// # Errors
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -3,25 +3,32 @@
 mod relaying;
 
 use {
-    coord::{catalog::RetryPolicy, time::Millis},
+    coord::{
+        catalog::RetryPolicy,
+        tables::{Endpoint, Member},
+        time::Millis,
+    },
     harness::{LONG_TIMEOUT, wait_until},
     relaying::{
-        catalog, connect, endpoint, read_response, request, route, scripted, signed_ok, start,
+        call, catalog, connect, endpoint, member, read_response, request, route, scripted,
+        signed_ok, start, start_with_members,
     },
     standin::Step,
     std::{
         fs,
-        io::Write,
-        net::{SocketAddr, TcpStream},
-        thread::sleep,
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        thread::{self, sleep},
         time::Duration,
     },
 };
 
-/// More than the kernel of a caller that doesn't read takes.
+/// More than the kernel of a side that doesn't read takes.
 const LONG: usize = 2 << 20;
 /// Longer than an endpoint that has vanished stays unnoticed.
 const READING_PAUSE: Duration = Duration::from_millis(3500);
+/// Longer than an instance waits for room for a body.
+const ROOM_WAIT: Duration = Duration::from_millis(2500);
 /// Longer than any test.
 const NEVER: Duration = Duration::from_secs(30);
 /// The mark of a connection that is probed while it is idle, as the kernel lists it.
@@ -71,3 +78,45 @@
 
     wait_until("the caller is probed", Duration::from_secs(2), || is_probed(&caller));
 }
+
+/// Returns the address of a listener that has ended.
+fn unused_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound listener has an address")
+}
+
+/// Starts an instance that has no room for a body, and says so after a while.
+fn start_full_instance() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("a bound listener has an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the relay connects");
+        stream.read_exact(&mut [0; 100]).expect("the request comes");
+        sleep(ROOM_WAIT);
+        let head = "HTTP/1.1 503 Busy\r\nretry-after: 1.00\r\ncontent-length: 9\r\n\r\n";
+        // The relay may have given up.
+        let _ = stream.write_all(format!("{head}no_memory").as_bytes());
+        sleep(NEVER);
+    });
+    addr
+}
+
+/// Guards against refusals that are lost, so that the request counts as one that may have run.
+#[test]
+fn a_long_body_is_handed_to_an_instance_that_refuses_it_for_lack_of_room() {
+    let other = Member { relay: Some(start_full_instance()), ..member(2, "d") };
+    let rows: Vec<Endpoint> =
+        ["e", "f"].map(|it| endpoint(it, "app", unused_addr())).into_iter().collect();
+    let mut patient = route(RetryPolicy::Once);
+    patient.timeout = Millis(20_000);
+    let relay = start_with_members(&[other], catalog(patient), &rows);
+    assert_eq!(call(&relay, &patient_request("first")).status, 503);
+    // Longer than it takes to see that no endpoint is reached.
+    sleep(Duration::from_secs(1));
+    let text = patient_request("id");
+    let long = text.replace("length: 0", &format!("length: {LONG}")) + &"x".repeat(LONG);
+
+    let got = call(&relay, &long);
+
+    assert_eq!((got.status, got.text().as_str()), (503, "no_memory"));
+}
