End connections from instances that have vanished

Each instance that vanished without a word (a machine that was lost, not a process that ended) left its connections open at the others for good, each with one of the descriptors for peers.

Cause: the server for peers set no bound on connections whose secret was shown, and a connection without data under way isn't ended by the kernel on its own.

Change: they are probed after 10 s, and end after three unanswered probes. Calls keep their time limits.

--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -6,6 +6,7 @@
         event::{Event, Inbox},
         memory::{GuardedStream, Memory},
         relay::{BatcherEvent, StageReply, StageRequest, StoredResult},
+        sockets::SocketBounds,
     },
     coord::{
         control::{Envelope, LeaderReport},
@@ -98,7 +99,7 @@
     };
     let module = Methods::from(module);
     let accepted = |stream: GuardedStream| {
-        if let Err(err) = stream.tcp().set_nodelay(true) {
+        if let Err(err) = SocketBounds::PEER.apply(stream.tcp()) {
             log::info!(error:% = err; "[peers] connection lost before its first call");
             return;
         }
--- a/crates/daemon/src/sockets.rs
+++ b/crates/daemon/src/sockets.rs
@@ -37,6 +37,11 @@
     /// room for it, before it refuses.
     pub const HELPER: Self = Self { user_timeout: Some(Duration::from_secs(4)), ..Self::ENDPOINT };
 
+    /// Calls between instances have time limits of their own. Connections from instances that have
+    /// vanished end, so that they don't hold descriptors for good.
+    pub const PEER: Self =
+        Self { user_timeout: None, probe_interval: Duration::from_secs(10), max_probes: 3 };
+
     /// Sets the bounds of a connection and disables Nagle's algorithm.
     ///
     /// # Errors
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -5,9 +5,15 @@
 use {
     coord::{
         catalog::RetryPolicy,
+        memory::MemoryUse,
         tables::{Endpoint, Member},
         time::Millis,
     },
+    daemon::{
+        event::Inbox,
+        memory::{Memory, MemorySettings},
+        peers::serve,
+    },
     harness::{LONG_TIMEOUT, wait_until},
     relaying::{
         call, catalog, connect, endpoint, member, read_response, request, route, scripted,
@@ -18,9 +24,11 @@
         fs,
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
+        sync::mpsc::sync_channel,
         thread::{self, sleep},
         time::Duration,
     },
+    tokio::sync::mpsc::unbounded_channel,
 };
 
 /// More than the kernel of a side that doesn't read takes.
@@ -120,3 +128,19 @@
 
     assert_eq!((got.status, got.text().as_str()), (503, "no_memory"));
 }
+
+/// Guards against descriptors that are held for good for instances that have vanished.
+#[test]
+fn a_connection_from_another_instance_is_probed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("a bound listener has an address");
+    let memory = Memory::new(MemorySettings::default(), MemoryUse::default());
+    let (events, _core) = sync_channel(1);
+    let (batchers, _received) = unbounded_channel();
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.spawn(serve(listener, "secret".into(), Inbox::new(events), batchers, memory));
+
+    let peer = TcpStream::connect(addr).expect("the instance listens");
+
+    wait_until("the peer is probed", Duration::from_secs(2), || is_probed(&peer));
+}
