Answer each request of the own interface before a planned stop ends

Callers of POST /v1/requests whose requests were held at the end of a planned stop got no answer: their connections were closed.

Cause: the router knew nothing of the stop's end. It refused new requests from the Closed phase on; those that it held waited for their own deadlines, and the process ended at its bound without answering them.

Change: begin_stop tells the router when the last answers must begin, the time of DrainState::answer_by. Queued requests whose remaining stages can't be done by then are refused at once ("stopping", not run, retry at once elsewhere): when the stop begins, in the order in which they would be sent and with the time of those ahead; on arrival; as time passes; and before each stage. At the last call each request that is still held fails with what is known of it: not run if it was never sent, else unknown; claims are settled as for any other failure. Requests that run at an endpoint aren't ended before that, since they may yet be done.

--- a/crates/coord/src/router/admission.rs
+++ b/crates/coord/src/router/admission.rs
@@ -5,7 +5,7 @@
     super::{
         Action, Failure, FairQueue, Finish, Reason, Router, Submission, Waiter,
         request::{EffectState, Phase, Request},
-        router::{MIN_RETRY_AFTER, is_withheld},
+        router::{MIN_RETRY_AFTER, RETRY_AFTER_STOPPING, is_withheld},
     },
     crate::{
         ids::{PoolName, RequestId},
@@ -25,15 +25,16 @@
     /// any other result.
     pub fn submit(&mut self, now: Time, submission: Submission) {
         let id = submission.id;
-        match self.validate(&submission) {
+        match self.validate(now, &submission) {
             Ok(stages) => self.accept(now, submission, stages),
             Err(failure) => self.refuse(id, failure),
         }
     }
 
-    fn validate(&self, submission: &Submission) -> Result<Vec<Stage>, Failure> {
+    fn validate(&self, now: Time, submission: &Submission) -> Result<Vec<Stage>, Failure> {
         if self.stopping {
-            return Err(Failure::not_run(Reason::Stopping, "this instance is about to stop"));
+            let failure = Failure::not_run(Reason::Stopping, "this instance is about to stop");
+            return Err(failure.retry_after(RETRY_AFTER_STOPPING));
         }
         if !self.leased {
             let failure = Failure::not_run(Reason::NoLease, "this instance holds no lease");
@@ -65,18 +66,25 @@
             return Err(failure.retry_after(RETRY_AFTER_WITHHELD));
         }
         let stages = route.sorted_stages().expect("routes in the tables are validated");
-        self.check_expected_time(submission, &stages)?;
+        self.check_expected_time(now, submission, &stages)?;
         Ok(stages)
     }
 
-    /// Refuses a request that is expected to take longer than its deadline.
+    /// Refuses a request that is expected to take longer than its deadline, or than a graceful
+    /// shutdown.
     fn check_expected_time(
         &self,
+        now: Time,
         submission: &Submission,
         stages: &[Stage],
     ) -> Result<(), Failure> {
         let wait = self.expected_wait(&stages[0].pool, submission);
         let needed = Millis(wait.0 + self.expected_time(stages, submission.input.len()).0);
+        if self.answer_by.is_some_and(|it| now + needed >= it) {
+            let detail = format!("about {needed} would be needed, this instance stops before");
+            let failure = Failure::not_run(Reason::Stopping, detail);
+            return Err(failure.retry_after(RETRY_AFTER_STOPPING));
+        }
         if needed <= submission.deadline {
             return Ok(());
         }
@@ -127,10 +135,16 @@
         self.dispatch(now);
     }
 
-    /// Adds a request to the queue of its current stage's pool.
+    /// Adds a request to the queue of its current stage's pool, unless a graceful shutdown is
+    /// expected to end first.
     pub(super) fn enqueue(&mut self, now: Time, id: RequestId) {
         let request = self.requests.get_mut(&id).expect("the request is held");
         request.phase = Phase::Queued { since: now };
+        let request = &self.requests[&id];
+        if self.is_cut_off(now, request) {
+            self.fail_stopping(now, id);
+            return;
+        }
         let stage = &request.stages[request.stage];
         let size = request.submission.input.len();
         let cost = self.estimator.mean(&stage.pool, &stage.name, size).unwrap_or(UNMEASURED_COST);
--- a/crates/coord/src/router/mod.rs
+++ b/crates/coord/src/router/mod.rs
@@ -24,6 +24,6 @@
     picker::{Candidate, Picker, Policy, PolicyError},
     queue::{FairQueue, QueueFull, Waiter},
     request::Submission,
-    router::{Limits, Router},
+    router::{Limits, RETRY_AFTER_STOPPING, Router},
     stats::Stats,
 };
--- a/crates/coord/src/router/queue.rs
+++ b/crates/coord/src/router/queue.rs
@@ -28,7 +28,7 @@
 pub struct QueueFull;
 
 /// The waiters of one team and class.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Flow {
     /// The virtual start time of the flow's next request.
     next_start: f64,
@@ -36,7 +36,7 @@
 }
 
 /// The queued requests of one pool, by class and team.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct FairQueue {
     flows: IndexMap<(Class, TeamName), Flow>,
     virtual_time: f64,
@@ -111,6 +111,12 @@
         Some(waiter)
     }
 
+    /// Returns the waiters in the order in which they would be removed.
+    pub fn in_order(&self) -> Vec<Waiter> {
+        let mut copy = self.clone();
+        std::iter::from_fn(|| copy.pop()).collect()
+    }
+
     /// Removes the waiter of a request; false if there is none.
     pub fn remove(&mut self, request: RequestId) -> bool {
         for flow in self.flows.values_mut() {
--- a/crates/coord/src/router/router.rs
+++ b/crates/coord/src/router/router.rs
@@ -22,6 +22,8 @@
 
 /// The minimum `retry_after` of a refusal.
 pub(super) const MIN_RETRY_AFTER: Millis = Millis(200);
+/// The `retry_after` of refusals by an instance that is stopping: others serve at once.
+pub const RETRY_AFTER_STOPPING: Millis = Millis(0);
 
 /// Limits on the requests of one instance.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +71,9 @@
     pub(super) limits: Limits,
     pub(super) leased: bool,
     pub(super) stopping: bool,
+    /// When the last answers must begin before the process ends, once a graceful shutdown has
+    /// begun.
+    pub(super) answer_by: Option<Time>,
 }
 
 impl Router {
@@ -97,6 +102,7 @@
             limits,
             leased: false,
             stopping: false,
+            answer_by: None,
         }
     }
 
@@ -135,6 +141,15 @@
         self.leased = leased;
     }
 
+    /// Begins a graceful shutdown, in which the last answers must begin by `answer_by`.
+    /// Requests that can't be done by then are refused from now on.
+    pub fn begin_stop(&mut self, now: Time, answer_by: Time) {
+        self.answer_by = Some(answer_by);
+        for at in 0..self.queues.len() {
+            self.refuse_cut_off(now, at);
+        }
+    }
+
     /// Refuses new requests from now on.
     pub fn stop_accepting(&mut self) {
         self.stopping = true;
@@ -239,8 +254,8 @@
         }
     }
 
-    /// Handles the passing of time: deadlines, claims to repeat, silent attempts
-    /// and queues.
+    /// Handles the passing of time: deadlines, the end of a graceful shutdown, claims to repeat,
+    /// silent attempts and queues.
     pub fn tick(&mut self, now: Time) {
         for id in self.requests.keys().copied().collect::<Vec<_>>() {
             self.tick_request(now, id);
@@ -277,8 +292,36 @@
         }
     }
 
+    /// Fails the waiters of a queue that aren't expected to end before a graceful shutdown
+    /// does.
+    fn refuse_cut_off(&mut self, now: Time, at: usize) {
+        let (pool, queue) = self.queues.get_index(at).expect("the queue exists");
+        let slots = u64::from(self.picker.capacity(pool).max(1));
+        let mut ahead = Millis(0);
+        for waiter in queue.in_order() {
+            let start = now + Millis(ahead.0 / slots);
+            match self.is_cut_off(start, &self.requests[&waiter.request]) {
+                true => self.fail_stopping(now, waiter.request),
+                false => ahead = ahead + waiter.cost,
+            }
+        }
+    }
+
+    /// Whether a graceful shutdown is expected to end before the remaining stages of a request
+    /// do, if the first of them starts at `start`.
+    pub(super) fn is_cut_off(&self, start: Time, request: &Request) -> bool {
+        let rest = &request.stages[request.stage..];
+        let needed = self.expected_time(rest, request.submission.input.len());
+        self.answer_by.is_some_and(|it| start + needed >= it)
+    }
+
+    /// Fails a request because of a graceful shutdown.
+    pub(super) fn fail_stopping(&mut self, now: Time, id: RequestId) {
+        self.fail(now, id, Reason::Stopping, "this instance stops before the request could end");
+    }
+
     /// Starts the request's stage if the remaining stages are expected to meet
-    /// the deadline.
+    /// the deadline and to end before a graceful shutdown does.
     fn start_stage(&mut self, now: Time, id: RequestId) {
         let request = &self.requests[&id];
         let left = request.deadline.since(now);
@@ -288,6 +331,10 @@
             self.fail(now, id, Reason::Deadline, "the rest can't be done by the deadline");
             return;
         }
+        if self.is_cut_off(now, request) {
+            self.fail_stopping(now, id);
+            return;
+        }
         let Phase::Queued { since } = request.phase else {
             unreachable!("only a queued request is started");
         };
@@ -397,6 +444,13 @@
             self.fail(now, id, reason, "the deadline has passed");
             return;
         }
+        // Whatever a request waits for, its caller must have an answer.
+        let is_last_call = self.answer_by.is_some_and(|it| now >= it);
+        let is_queued = matches!(request.phase, Phase::Queued { .. });
+        if is_last_call || is_queued && self.is_cut_off(now, request) {
+            self.fail_stopping(now, id);
+            return;
+        }
         if let Phase::Claiming { retry_at: Some(retry_at) } = request.phase
             && now >= retry_at
         {
@@ -434,7 +488,8 @@
             queue.remove(id);
         }
         self.settle_failed(&request);
-        let retry_after = (outcome == Outcome::NotRun).then_some(MIN_RETRY_AFTER);
+        let pause = if reason == Reason::Stopping { RETRY_AFTER_STOPPING } else { MIN_RETRY_AFTER };
+        let retry_after = (outcome == Outcome::NotRun).then_some(pause);
         let failure = Failure { outcome, reason, detail: detail.to_owned(), retry_after };
         let finish = Finish { result: Err(failure), stored: false, stages: request.reports };
         self.actions.push(Action::Finish { request: id, finish: Box::new(finish) });
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -11,7 +11,7 @@
         limits::{LimitNotice, LimitReply, SendGrant, SharedGate},
         relay::EndpointNotice,
         router::{
-            Action, AttemptEvent, AttemptIdent, EndpointCall, FairQueue, Finish, Limits,
+            Action, AttemptEvent, AttemptIdent, EndpointCall, Failure, FairQueue, Finish, Limits,
             MAX_OUTPUT_BYTES, Outcome, Policy, Reason, RetryBudget, RetryBudgetConfig, Router,
             Submission, Waiter,
         },
@@ -527,3 +527,158 @@
         router.take_actions().into_iter().filter(|it| matches!(it, Action::Cancel { .. }));
     assert_eq!(cancels.count(), 0, "no send is left for a cancel");
 }
+
+/// The time that each stage takes in the tests of shutdowns.
+const STAGE_TIME: Millis = Millis(300);
+
+/// Runs requests one after the other until their stages have an expected time; returns when
+/// the last has ended.
+fn measure_stages(router: &mut Router) -> Time {
+    let mut now = NOW;
+    for _ in 0..8 {
+        router.submit(now, submission("two"));
+        for _ in 0..2 {
+            let call = take_calls(router).remove(0);
+            now = now + STAGE_TIME;
+            router.on_attempt_event(now, call.ident.attempt, done(&call.ident, 0));
+        }
+    }
+    router.take_actions();
+    now
+}
+
+fn take_failures(router: &mut Router) -> Vec<Failure> {
+    let actions = router.take_actions().into_iter();
+    let ends = actions.filter_map(|it| match it {
+        Action::Finish { finish, .. } => Some(finish.result.expect_err("a failure")),
+        _ => None,
+    });
+    ends.collect()
+}
+
+fn assert_refused_by_stop(failure: &Failure) {
+    let got = (failure.outcome, failure.reason, failure.retry_after);
+    assert_eq!(got, (Outcome::NotRun, Reason::Stopping, Some(Millis(0))), "{failure:?}");
+}
+
+#[test]
+fn a_queued_request_that_outlasts_a_stop_is_refused_when_the_stop_begins() {
+    let mut router = router(1);
+    let now = measure_stages(&mut router);
+    (0..3).for_each(|_| router.submit(now, submission("two")));
+    assert_eq!(take_calls(&mut router).len(), 2, "the third is queued");
+
+    router.begin_stop(now, now + Millis(500));
+
+    let failures = take_failures(&mut router);
+    assert_eq!(failures.len(), 1, "those that were sent may still end");
+    assert_refused_by_stop(&failures[0]);
+}
+
+#[test]
+fn requests_at_the_end_of_a_queue_that_outlasts_a_stop_are_refused_when_it_begins() {
+    let mut router = router(1);
+    let now = measure_stages(&mut router);
+    (0..12).for_each(|_| router.submit(now, submission("two")));
+    assert_eq!(take_calls(&mut router).len(), 2);
+
+    router.begin_stop(now, now + Millis(1500));
+
+    // Two slots: one of ten starts each 150 ms and takes two stages.
+    let failures = take_failures(&mut router);
+    assert_eq!(failures.len(), 4);
+    failures.iter().for_each(assert_refused_by_stop);
+}
+
+#[test]
+fn a_queued_request_is_refused_as_soon_as_a_stop_is_known_to_end_first() {
+    let mut router = router(1);
+    let now = measure_stages(&mut router);
+    (0..3).for_each(|_| router.submit(now, submission("two")));
+    router.begin_stop(now, now + Millis(1000));
+    take_calls(&mut router);
+
+    router.tick(now + Millis(399));
+    let before = take_failures(&mut router);
+    router.tick(now + Millis(400));
+    let after = take_failures(&mut router);
+
+    assert!(before.is_empty(), "{before:?}");
+    assert_eq!(after.len(), 1);
+    assert_refused_by_stop(&after[0]);
+}
+
+#[test]
+fn a_new_request_is_taken_during_a_stop_only_if_it_can_end_first() {
+    let mut router = router(1);
+    let now = measure_stages(&mut router);
+    router.begin_stop(now, now + Millis(1000));
+
+    router.submit(now, submission("two"));
+    let taken = take_calls(&mut router).len();
+    router.submit(now + Millis(400), submission("two"));
+
+    assert_eq!(taken, 1);
+    assert_refused_by_stop(&take_failures(&mut router)[0]);
+}
+
+#[test]
+fn a_stage_that_outlasts_a_stop_is_not_begun() {
+    let mut router = router(1);
+    let now = measure_stages(&mut router);
+    router.submit(now, submission("two"));
+    let first = take_calls(&mut router).remove(0);
+    router.begin_stop(now, now + Millis(700));
+
+    router.on_attempt_event(now + Millis(400), first.ident.attempt, done(&first.ident, 0));
+
+    let (finish, calls) = take_finish_and_calls(&mut router);
+    assert_eq!(calls, 0);
+    let failure = finish.result.expect_err("a failure");
+    assert_eq!((failure.outcome, failure.reason), (Outcome::Unknown, Reason::Stopping));
+}
+
+#[test]
+fn a_claim_that_is_granted_too_late_in_a_stop_is_settled_as_not_run() {
+    let mut router = router(4);
+    let it = submission("once");
+    let (id, key) = (it.id, it.key.expect("a key"));
+    router.submit(NOW, it);
+    router.begin_stop(NOW, NOW + Millis(1000));
+    router.take_actions();
+
+    router.tick(NOW + Millis(1000));
+    let failures = take_failures(&mut router);
+    let granted = Ok(ClaimOutcome::Granted { fence: Fence(5) });
+    router.on_claim_result(NOW + Millis(1100), id, key, granted);
+
+    assert_eq!(failures[0].outcome, Outcome::Unknown, "an earlier request may hold the key");
+    assert_eq!(settlement(&router.take_actions()), Some(&Settlement::NotRun));
+}
+
+#[test]
+fn requests_held_at_the_last_call_of_a_stop_are_answered_with_what_is_known() {
+    let mut router = router(1);
+    submit_claimed(&mut router);
+    (0..2).for_each(|_| router.submit(NOW, submission("two")));
+    assert_eq!(take_calls(&mut router).len(), 1, "the second of them is queued");
+    router.begin_stop(NOW, NOW + Millis(1000));
+
+    router.tick(NOW + Millis(999));
+    let before = router.take_actions().len();
+    router.tick(NOW + Millis(1000));
+
+    let actions = router.take_actions();
+    assert_eq!(before, 0);
+    assert!(router.is_idle());
+    assert_eq!(settlement(&actions), Some(&Settlement::Unknown));
+    let ends = actions.into_iter().filter_map(|it| match it {
+        Action::Finish { finish, .. } => Some(finish.result.expect_err("a failure")),
+        _ => None,
+    });
+    let ends: Vec<Failure> = ends.collect();
+    assert!(ends.iter().all(|it| it.reason == Reason::Stopping), "{ends:?}");
+    let unknown = ends.iter().filter(|it| it.outcome == Outcome::Unknown).count();
+    assert_eq!((ends.len(), unknown), (3, 2), "{ends:?}");
+    assert_refused_by_stop(&ends[2]);
+}
--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -36,6 +36,9 @@
             let bound = Duration::from_millis(self.settings.stop_bound.0);
             self.drain.end_at(Instant::now() + bound);
             self.drain.enter(DrainPhase::Leaving);
+            if let Some(it) = self.drain.answer_by() {
+                self.router.begin_stop(now, self.time(it));
+            }
             self.stop = Some(Stop { started_at: now, idle_at: None, released: false });
         }
     }
--- a/crates/harness/tests/stop.rs
+++ b/crates/harness/tests/stop.rs
@@ -3,13 +3,18 @@
 mod fixture;
 
 use {
-    coord::{catalog::RetryPolicy, wire::CallerRequest},
-    fixture::{System, new_request, start_system},
+    coord::{
+        catalog::RetryPolicy,
+        ids::Slots,
+        router::{Outcome, Reason},
+        wire::{CallerError, CallerRequest},
+    },
+    fixture::{System, endpoint_spec, new_request, start_system, start_system_with},
     harness::{
         Caller, CallerResult, ClusterSpec, LONG_TIMEOUT, connect, relay_catalog, relay_endpoint,
         relay_request, relay_route, wait_until,
     },
-    standin::{ScriptedEndpoint, Step, signed_response},
+    standin::{EndpointSpec, ScriptedEndpoint, Step, signed_response},
     std::{
         io::{Read, Write},
         sync::{
@@ -125,6 +130,45 @@
     assert!(status.success(), "{status:?}");
 }
 
+/// Callers whose requests outlast a stop must not find their connections closed.
+#[test]
+fn requests_that_outlast_a_stop_are_answered_before_its_end() {
+    let args = ["--stop-bound", "2000", "--stop-notice", "200"].map(ToOwned::to_owned).to_vec();
+    let spec = ClusterSpec { args, ..ClusterSpec::new(1, 0) };
+    let slow = EndpointSpec {
+        slots: Slots(1),
+        cold_slots: Slots(1),
+        base_ms: 20_000,
+        ..endpoint_spec("encode", "north", 0)
+    };
+    let mut system = start_system_with(spec, &[slow]);
+    let caller = system.cluster.daemon(0).caller();
+    let requests: Vec<_> = (0..3)
+        .map(|_| {
+            let caller = caller.clone();
+            thread::spawn(move || caller.stream(&new_request("notes", "a history")).end)
+        })
+        .collect();
+    wait_until("one request is sent and two are queued", LONG_TIMEOUT, || {
+        let metrics = system.cluster.daemon(0).operator().metrics();
+        metrics.lines().any(|it| it == "mangobend_requests_held 3")
+            && !system.stand_ins.records()[0].1.runs.is_empty()
+    });
+
+    system.cluster.daemon(0).proc.signal(SIGTERM);
+    let ends = requests.into_iter().map(|it| it.join().expect("the thread doesn't panic"));
+
+    let ends: Vec<CallerResult> = ends.collect();
+    let failures: Vec<&CallerError> = ends.iter().filter_map(CallerResult::failure).collect();
+    assert_eq!(failures.len(), 3, "{ends:?}");
+    assert!(failures.iter().all(|it| it.reason == Reason::Stopping), "{failures:?}");
+    let not_run = failures.iter().filter(|it| it.outcome == Outcome::NotRun).count();
+    assert_eq!(not_run, 2, "{failures:?}");
+    let daemon = system.cluster.instances[0].daemon.as_mut().expect("the instance was started");
+    let status = daemon.proc.wait(LONG_TIMEOUT).expect("the daemon exits");
+    assert!(status.success(), "{status:?}");
+}
+
 /// Without a transfer the others would wait for an election and could lose their leases.
 #[test]
 fn a_stopping_leader_transfers_leadership_at_once() {
