Hand stage requests back when their batcher stops

Callers whose requests had pieces in the queue of a batcher that got SIGTERM, at any instance, waited until that process was gone: its connection broke after up to 7.6 s, and the pieces began anew at the next batcher, often too late. Pieces that arrived during a stop were queued like others, and a stop didn't wait for calls with pieces of other instances.

Cause: a batcher knew nothing of the stop. Its process ended when its own requests had, whatever it held for others.

Change: as soon as a stop begins, a batcher hands back what has no piece started, and takes no more from others ('unreachable', which earlier builds take as a reason to try the next batcher). Pieces in calls run to their end; the process waits for them. What can't be called again before the last answers, and what is still in a call then, is handed back 0.6 s before the end, and its results are freed. Submitters remember for 8 s, a little longer than a stop (7.6 s), who handed a request back, and try it last. Hand-backs cost one round trip and no longer use up the tries of a stage: eight batchers of a shard are known instead of two; at most two that can't be reached are tried, as before. A stopping instance comes last for its own requests too, but does them if no other batcher takes them. A hand-back or a lost connection no longer counts as a report that the shard's queue is empty.

Tests: daemon/tests/batchers.rs.

--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -58,7 +58,8 @@
         let timed_out = elapsed >= self.settings.stop_bound;
         let first = stop.idle_at.is_none();
         let (relayed, open) = (self.drain.active(), self.drain.open());
-        let busy = !self.router.is_idle() || self.has_settlements() || relayed + open > 0;
+        let owed = relayed + open + self.drain.gathered();
+        let busy = !self.router.is_idle() || self.has_settlements() || owed > 0;
         if busy && !timed_out {
             return;
         }
@@ -88,7 +89,11 @@
             return;
         }
         if now.since(idle_at) >= FLUSH_DELAY {
-            log::info!("[stop] The shutdown is complete.");
+            let (handed_back, cut_short) = self.drain.handed_back();
+            log::info!(
+                stages_handed_back = handed_back, in_a_call = cut_short;
+                "[stop] The shutdown is complete."
+            );
             self.exit = Some(ExitCode::SUCCESS);
         }
     }
--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -6,9 +6,12 @@
         StageRequest, StoredResult,
         clock::time_since,
         crash_watch::{AttemptWatch, CrashWatch},
+        drain_state::{DrainPhase, DrainState},
         notices::Notices,
         rollouts::{Rollouts, SendGuard},
-        shard_batcher::{CallError, GRANT_CHECK_INTERVAL, QueuedPiece, ShardBatcher},
+        shard_batcher::{
+            CallError, GRANT_CHECK_INTERVAL, GroupState, QueuedPiece, ShardBatcher, Submitter,
+        },
         upstream::{SendError, Upstream},
         view::View,
     },
@@ -53,6 +56,19 @@
 /// Timeout of the freeing of results; shorter than endpoints keep them.
 const FREE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// What the batchers of an instance share with its relay.
+pub struct BatcherContext {
+    pub dialect: Arc<Dialect>,
+    pub upstream: Rc<Upstream>,
+    pub notices: Rc<Notices>,
+    pub rollouts: Rc<Rollouts>,
+    /// Room for the answers of endpoints.
+    pub rooms: BodyRooms,
+    pub crashes: CrashWatch,
+    pub drain: Arc<DrainState>,
+    pub start: Instant,
+}
+
 /// The batchers of this instance, one per shard.
 pub struct Batchers {
     dialect: Arc<Dialect>,
@@ -61,6 +77,7 @@
     rollouts: Rc<Rollouts>,
     rooms: BodyRooms,
     crashes: CrashWatch,
+    drain: Arc<DrainState>,
     shards: RefCell<IndexMap<Shard, ShardBatcher>>,
     weak_self: Weak<Self>,
     next_piece: Cell<u64>,
@@ -83,15 +100,9 @@
 
 impl Batchers {
     /// Creates the batchers without any shard.
-    pub fn new(
-        dialect: Arc<Dialect>,
-        upstream: Rc<Upstream>,
-        notices: Rc<Notices>,
-        rollouts: Rc<Rollouts>,
-        rooms: BodyRooms,
-        crashes: CrashWatch,
-        start: Instant,
-    ) -> Rc<Self> {
+    pub fn new(context: BatcherContext) -> Rc<Self> {
+        let BatcherContext { dialect, upstream, notices, rollouts, rooms, crashes, drain, start } =
+            context;
         Rc::new_cyclic(|weak_self| Self {
             dialect,
             upstream,
@@ -99,6 +110,7 @@
             rollouts,
             rooms,
             crashes,
+            drain,
             shards: RefCell::default(),
             weak_self: weak_self.clone(),
             next_piece: Cell::new(0),
@@ -139,18 +151,48 @@
     pub async fn serve(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<BatcherEvent>) {
         while let Some(event) = events.recv().await {
             match event {
-                BatcherEvent::Submit { request, respond } => self.enqueue(*request, respond),
+                BatcherEvent::Submit { request, respond } => self.accept(*request, respond),
                 BatcherEvent::Cancel(id) => self.cancel(id),
                 BatcherEvent::Free { shard, results } => self.release(&shard, results),
             }
         }
     }
 
-    /// Submits a stage request of this instance and waits for the reply.
+    /// Hands stage requests back at the start of a graceful shutdown and before its end.
+    pub async fn watch_stop(self: Rc<Self>) {
+        self.drain.begun().await;
+        self.hand_back(GroupState::is_new);
+        self.drain.last_call(Duration::ZERO).await;
+        self.hand_back(|_| true);
+    }
+
+    fn hand_back(&self, is_due: impl Fn(&GroupState) -> bool) {
+        let names: Vec<Shard> = self.shards.borrow().keys().cloned().collect();
+        for shard in names {
+            self.with_batcher(&shard, |batcher| batcher.hand_back(&is_due));
+            self.dispatch(&shard);
+        }
+    }
+
+    /// Takes a stage request of another instance, which tries the next batcher if this one
+    /// stops.
+    fn accept(&self, request: StageRequest, respond: oneshot::Sender<StageReply>) {
+        let guard = self.drain.track_gathered();
+        if self.drain.phase() >= DrainPhase::Leaving {
+            guard.hand_back(false);
+            // The submitter may be gone.
+            let _ = respond.send(StageReply::failed(PieceError::Unreachable));
+            return;
+        }
+        self.enqueue(request, Submitter { respond, guard: Some(guard) });
+    }
+
+    /// Submits a stage request of this instance and waits for the reply. In a graceful shutdown
+    /// this is for requests that no other batcher takes.
     pub async fn submit(self: &Rc<Self>, request: StageRequest) -> StageReply {
         let mut guard = CancelGuard { batchers: self.clone(), id: Some(request.id) };
         let (respond, answer) = oneshot::channel();
-        self.enqueue(request, respond);
+        self.enqueue(request, Submitter { respond, guard: None });
         let reply = answer.await.unwrap_or(StageReply::failed(PieceError::Failed));
         guard.id = None;
         reply
@@ -183,7 +225,7 @@
         self.dispatch(&shard);
     }
 
-    fn enqueue(&self, request: StageRequest, respond: oneshot::Sender<StageReply>) {
+    fn enqueue(&self, request: StageRequest, submitter: Submitter) {
         let now = time_since(self.start);
         let shard = request.shard.clone();
         let mut shards = self.shards.borrow_mut();
@@ -197,12 +239,12 @@
                 "[relay] stage refused: the shard has no endpoints"
             );
             // The submitter may be gone.
-            let _ = respond.send(StageReply::failed(missing));
+            let _ = submitter.respond.send(StageReply::failed(missing));
             return;
         };
         let first = self.next_piece.get();
         self.next_piece.set(first + u64::from(request.count));
-        batcher.add(now, first, request, respond);
+        batcher.add(now, first, request, submitter);
         drop(shards);
         self.dispatch(&shard);
     }
@@ -214,6 +256,11 @@
         let Some(batcher) = shards.get_mut(shard) else {
             return;
         };
+        if self.drain.phase() >= DrainPhase::Leaving {
+            let least = Duration::from_millis(batcher.queue.call_duration(1).0);
+            let is_late = !self.drain.can_answer_in(least);
+            batcher.hand_back(|it| it.called == 0 && (is_late || it.is_foreign && it.is_new()));
+        }
         batcher.apply_notices(now, &self.notices, &self.rollouts);
         let down = shard.domain.is_some() && batcher.queue.is_down(now);
         if down || batcher.endpoints.is_empty() || batcher.queue.is_deserted() {
--- a/crates/daemon/src/relay/batcher_clients.rs
+++ b/crates/daemon/src/relay/batcher_clients.rs
@@ -29,6 +29,9 @@
 const INACTIVITY_LIMIT: Duration = Duration::from_millis(1500);
 /// How long an unreachable instance is tried last.
 const AVOID_TIME: Duration = Duration::from_secs(1);
+/// How long an instance that handed a stage request back is tried last: as long as a graceful
+/// shutdown takes.
+const STOP_TIME: Duration = Duration::from_secs(8);
 
 type Client = Rc<OnceCell<Arc<WsClient>>>;
 
@@ -68,16 +71,17 @@
         Self { secret, clients: RefCell::default(), avoided_until: RefCell::default() }
     }
 
-    /// Whether an instance was unreachable recently.
+    /// Whether an instance was unreachable or handed a stage request back recently.
     pub fn is_avoided(&self, addr: SocketAddr) -> bool {
         self.avoided_until.borrow().get(&addr).is_some_and(|until| *until > Instant::now())
     }
 
-    /// Submits a stage request to the batcher on an instance and waits for the reply.
-    pub async fn submit(&self, addr: SocketAddr, request: StageRequest) -> StageReply {
+    /// Submits a stage request to the batcher on an instance and waits for the reply. Returns
+    /// `None` if it can't be reached.
+    pub async fn submit(&self, addr: SocketAddr, request: StageRequest) -> Option<StageReply> {
         let Some(client) = self.client(addr).await else {
-            self.avoid(addr);
-            return StageReply::failed(PieceError::Unreachable);
+            self.avoid(addr, AVOID_TIME);
+            return None;
         };
         let mut guard = CancelGuard {
             client: client.clone(),
@@ -88,15 +92,23 @@
             client.request::<StageReply, _>("gather", rpc_params![&*self.secret, &request]);
         let answer = answer.await;
         guard.id = None;
-        answer.unwrap_or_else(|err| {
-            log::info!(
-                request = request.request_id.as_str(), peer:% = addr, error:% = err;
-                "[relay] request to batcher failed"
-            );
-            self.clients.borrow_mut().remove(&addr);
-            self.avoid(addr);
-            StageReply::failed(PieceError::Unreachable)
-        })
+        match answer {
+            Ok(reply) => {
+                if reply.answer == Err(PieceError::Unreachable) {
+                    self.avoid(addr, STOP_TIME);
+                }
+                Some(reply)
+            }
+            Err(err) => {
+                log::info!(
+                    request = request.request_id.as_str(), peer:% = addr, error:% = err;
+                    "[relay] request to batcher failed"
+                );
+                self.clients.borrow_mut().remove(&addr);
+                self.avoid(addr, AVOID_TIME);
+                None
+            }
+        }
     }
 
     /// Asks an instance to release results. Returns false if it can't be reached.
@@ -115,8 +127,11 @@
         freed.is_ok()
     }
 
-    fn avoid(&self, addr: SocketAddr) {
-        self.avoided_until.borrow_mut().insert(addr, Instant::now() + AVOID_TIME);
+    fn avoid(&self, addr: SocketAddr, time: Duration) {
+        let until = Instant::now() + time;
+        let mut avoided = self.avoided_until.borrow_mut();
+        let row = avoided.entry(addr).or_insert(until);
+        *row = until.max(*row);
     }
 
     async fn client(&self, addr: SocketAddr) -> Option<Arc<WsClient>> {
--- a/crates/daemon/src/relay/drain_state.rs
+++ b/crates/daemon/src/relay/drain_state.rs
@@ -34,6 +34,11 @@
     phase: watch::Sender<DrainPhase>,
     active: AtomicUsize,
     open: AtomicUsize,
+    /// Stage requests of other instances that have no reply yet.
+    gathered: AtomicUsize,
+    handed_back: AtomicUsize,
+    /// Those of the handed back whose pieces were in a call.
+    cut_short: AtomicUsize,
     /// When the process ends at the latest.
     ends_at: OnceLock<Instant>,
 }
@@ -44,6 +49,9 @@
 /// Counts a caller's connection as open until dropped.
 pub struct OpenGuard(Arc<DrainState>);
 
+/// Counts a stage request of another instance until dropped.
+pub struct GatherGuard(Arc<DrainState>);
+
 impl DrainState {
     /// Enters a phase; an earlier phase than the current one is ignored.
     pub fn enter(&self, phase: DrainPhase) {
@@ -130,6 +138,37 @@
         self.active.fetch_add(1, Ordering::Relaxed);
         RequestGuard(self.clone())
     }
+
+    /// Returns the number of stage requests of other instances that have no reply yet.
+    pub fn gathered(&self) -> usize {
+        self.gathered.load(Ordering::Relaxed)
+    }
+
+    /// Counts a stage request of another instance until the guard is dropped.
+    pub fn track_gathered(self: &Arc<Self>) -> GatherGuard {
+        self.gathered.fetch_add(1, Ordering::Relaxed);
+        GatherGuard(self.clone())
+    }
+
+    /// Returns how many stage requests of other instances were handed back, and how many of
+    /// these had pieces in a call.
+    pub fn handed_back(&self) -> (usize, usize) {
+        (self.handed_back.load(Ordering::Relaxed), self.cut_short.load(Ordering::Relaxed))
+    }
+}
+
+impl GatherGuard {
+    /// Counts the stage request as handed back; `called` if pieces of it are in a call.
+    pub fn hand_back(self, called: bool) {
+        self.0.handed_back.fetch_add(1, Ordering::Relaxed);
+        self.0.cut_short.fetch_add(usize::from(called), Ordering::Relaxed);
+    }
+}
+
+impl Drop for GatherGuard {
+    fn drop(&mut self) {
+        self.0.gathered.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Drop for OpenGuard {
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -3,11 +3,22 @@
 use {
     super::{
         BatcherEvent, Dialect, DrainPhase, DrainState, RelaySettings, RetryLimits,
-        batcher::Batchers, batcher_clients::BatcherClients, clock::time_since,
-        crash_watch::CrashWatch, endpoint_checks::EndpointChecks, hand_over_mark::hand_over_mark,
-        notices::Notices, placement::LoadGuard, progress::ProgressTable, reach_watch::ReachWatch,
-        record::SeriesLabels, request::RelayRequest, rollouts::Rollouts,
-        stream_recorder::StreamRecorder, upstream::Upstream, view::View,
+        batcher::{BatcherContext, Batchers},
+        batcher_clients::BatcherClients,
+        clock::time_since,
+        crash_watch::CrashWatch,
+        endpoint_checks::EndpointChecks,
+        hand_over_mark::hand_over_mark,
+        notices::Notices,
+        placement::LoadGuard,
+        progress::ProgressTable,
+        reach_watch::ReachWatch,
+        record::SeriesLabels,
+        request::RelayRequest,
+        rollouts::Rollouts,
+        stream_recorder::StreamRecorder,
+        upstream::Upstream,
+        view::View,
     },
     crate::{
         event::Inbox, memory::Memory, rollout_handle::RolloutHandle, tables_clock::TablesClock,
@@ -214,15 +225,16 @@
         let checks = EndpointChecks::new(tables.clone(), notices.clone(), placer.clone());
         let crashes = CrashWatch::new(inbox, suspects, checks, peer);
         let relay = Rc::new(Self {
-            batchers: Batchers::new(
-                settings.dialect.clone(),
-                upstream.clone(),
-                notices.clone(),
-                rollouts.clone(),
-                memory.answers.clone(),
-                crashes.clone(),
+            batchers: Batchers::new(BatcherContext {
+                dialect: settings.dialect.clone(),
+                upstream: upstream.clone(),
+                notices: notices.clone(),
+                rollouts: rollouts.clone(),
+                rooms: memory.answers.clone(),
+                crashes: crashes.clone(),
+                drain: drain.clone(),
                 start,
-            ),
+            }),
             notices,
             rollouts,
             memory,
@@ -254,6 +266,7 @@
         relay.batchers.reload(&relay.view());
         tokio::task::spawn_local(relay.clone().watch_tables(tables));
         tokio::task::spawn_local(relay.batchers.clone().serve(batcher_events));
+        tokio::task::spawn_local(relay.batchers.clone().watch_stop());
         tokio::task::spawn_local(relay.clone().sweep());
         tokio::task::spawn_local(relay.clone().watch_stop());
         let source = relay.clone();
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -6,6 +6,7 @@
         Handle, PieceError, PieceItem, PieceResult, StageOutcome, StageReply, StageRequest,
         StoredResult,
         clock::time_since,
+        drain_state::GatherGuard,
         notices::Notices,
         rollouts::{Rollouts, SendGuard},
         upstream::SendError,
@@ -36,7 +37,24 @@
     target: Time,
     deadline: Time,
     results: RefCell<Vec<Option<StoredResult>>>,
-    respond: RefCell<Option<oneshot::Sender<StageReply>>>,
+    submitter: RefCell<Option<Submitter>>,
+}
+
+/// Who waits for the reply to a stage request.
+pub struct Submitter {
+    pub respond: oneshot::Sender<StageReply>,
+    /// Set for another instance.
+    pub guard: Option<GatherGuard>,
+}
+
+/// How far the pieces of a stage request are.
+pub struct GroupState {
+    /// Whether another instance submitted it.
+    pub is_foreign: bool,
+    /// Pieces in calls.
+    pub called: usize,
+    /// Pieces with a result.
+    pub made: usize,
 }
 
 /// A piece that is queued or in a call.
@@ -114,6 +132,13 @@
     }
 }
 
+impl GroupState {
+    /// Whether no piece was started.
+    pub fn is_new(&self) -> bool {
+        self.called == 0 && self.made == 0
+    }
+}
+
 impl QueuedPiece {
     /// The id of the request that it belongs to, and the suspect that stands for it.
     pub fn origin(&self) -> (&str, Option<&Suspect>) {
@@ -226,20 +251,14 @@
     }
 
     /// Queues the pieces of a stage request, with piece ids from `first`.
-    pub fn add(
-        &mut self,
-        now: Time,
-        first: u64,
-        request: StageRequest,
-        respond: oneshot::Sender<StageReply>,
-    ) {
+    pub fn add(&mut self, now: Time, first: u64, request: StageRequest, submitter: Submitter) {
         let count = request.count;
         let pending = Rc::new(PendingRequest {
             queued_at: now,
             target: now + request.target,
             deadline: now + request.deadline,
             results: RefCell::new(vec![None; count as usize]),
-            respond: RefCell::new(Some(respond)),
+            submitter: RefCell::new(Some(submitter)),
             request,
         });
         self.requests.insert(pending.request.id, pending.clone());
@@ -360,10 +379,10 @@
         };
         self.requests.remove(&pending.request.id);
         self.queue.remove_group(GroupId(pending.request.id));
-        let respond = pending.respond.borrow_mut().take();
+        let submitter = pending.submitter.borrow_mut().take();
         let reply = self.reply(pending, Ok(results));
-        if let Some(Err(StageReply { answer: Ok(results), .. })) = respond.map(|it| it.send(reply))
-        {
+        let sent = submitter.map(|it| it.respond.send(reply));
+        if let Some(Err(StageReply { answer: Ok(results), .. })) = sent {
             results.into_iter().for_each(|it| self.queue_free(it));
         }
     }
@@ -397,9 +416,9 @@
     }
 
     fn fail_request(&mut self, pending: &Rc<PendingRequest>, err: PieceError) {
-        if let Some(respond) = pending.respond.borrow_mut().take() {
+        if let Some(submitter) = pending.submitter.borrow_mut().take() {
             // The receiver may be gone.
-            let _ = respond.send(self.reply(pending, Err(err)));
+            let _ = submitter.respond.send(self.reply(pending, Err(err)));
         }
         self.drop_request(pending.request.id);
     }
@@ -409,11 +428,36 @@
         StageReply { answer, wait }
     }
 
+    /// Returns those stage requests to their submitters that `is_due` selects.
+    pub fn hand_back(&mut self, is_due: impl Fn(&GroupState) -> bool) {
+        let mut queued: HashMap<u64, usize> = HashMap::new();
+        for it in self.pieces.values() {
+            *queued.entry(it.pending.request.id).or_default() += 1;
+        }
+        let state = |id: &u64, it: &PendingRequest| {
+            let made = it.results.borrow().iter().flatten().count();
+            let waiting = queued.get(id).copied().unwrap_or_default();
+            let is_foreign = it.submitter.borrow().as_ref().is_some_and(|it| it.guard.is_some());
+            let called = (it.request.count as usize).saturating_sub(made + waiting);
+            GroupState { is_foreign, called, made }
+        };
+        let states = self.requests.iter().map(|(id, it)| (it.clone(), state(id, it)));
+        let due: Vec<_> = states.filter(|(_, it)| is_due(it)).collect();
+        for (pending, state) in due {
+            let guard = pending.submitter.borrow_mut().as_mut().and_then(|it| it.guard.take());
+            if let Some(it) = guard {
+                it.hand_back(state.called > 0);
+            }
+            self.fail_request(&pending, PieceError::Unreachable);
+        }
+    }
+
     /// Drops a stage request and frees its results.
     pub fn drop_request(&mut self, id: u64) {
         let Some(pending) = self.requests.remove(&id) else {
             return;
         };
+        pending.submitter.borrow_mut().take();
         self.pieces.retain(|_, it| it.pending.request.id != id);
         self.queue.remove_group(GroupId(id));
         let stored: Vec<StoredResult> =
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Handle, PieceError, PieceInput, StageReply, StageRequest, StoredResult, relay::Relay,
-        request::RelayRequest,
+        DrainPhase, Handle, PieceError, PieceInput, StageReply, StageRequest, StoredResult,
+        relay::Relay, request::RelayRequest,
     },
     coord::{
         ids::Bytes,
@@ -12,6 +12,7 @@
         time::Millis,
     },
     std::{
+        collections::VecDeque,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -22,11 +23,15 @@
 /// How much earlier than needed stages aim to finish, since the durations of the
 /// following steps vary.
 const TARGET_MARGIN: Millis = Millis(100);
-/// Limit on batchers tried per shard.
+/// Limit on unreachable batchers per shard.
 const MAX_BATCHERS: usize = 2;
+/// Limit on batchers known per shard; those that hand a request back cost one round trip. If a
+/// quarter of the instances stop at once, all of these do in one of 65,536 cases.
+const MAX_KNOWN: usize = 8;
 /// Limit on shards tried per stage.
 const MAX_SHARDS: usize = 2;
-/// Limit on stage requests sent per stage; each may cost a connection timeout.
+/// Limit on stage requests sent per stage that aren't handed back; each may cost a connection
+/// timeout.
 const MAX_REQUESTS: usize = 3;
 
 /// Why the stages of a request have no results.
@@ -241,7 +246,7 @@
     stage_request: StageRequest,
     due: Due,
     /// Batchers to try, with the shard that each serves, in order.
-    candidates: Vec<(Shard, SocketAddr)>,
+    candidates: VecDeque<(Shard, SocketAddr)>,
 }
 
 impl StageJob {
@@ -260,14 +265,21 @@
             false => PieceInput::Results(inputs.flat_map(StageOutput::handles).collect()),
         };
         let shards = relay.shards(&spec.pool, request);
+        let is_last = |addr: SocketAddr| match addr == relay.peer {
+            true => relay.drain.phase() >= DrainPhase::Leaving,
+            false => relay.batcher_clients.is_avoided(addr),
+        };
         let batchers = |shard: &Shard| {
             let batchers = view.batchers(shard);
-            let able = batchers.iter().filter(|it| !relay.is_peer_cut(**it));
-            let near = able.take(MAX_BATCHERS).map(|it| (shard.clone(), *it));
-            near.collect::<Vec<_>>()
+            let able = batchers.iter().copied().filter(|it| !relay.is_peer_cut(*it));
+            let (last, mut order): (Vec<_>, Vec<_>) = able.partition(|it| is_last(*it));
+            order.extend(last);
+            order.truncate(MAX_KNOWN);
+            order.into_iter().map(|it| (shard.clone(), it)).collect::<Vec<_>>()
         };
         let mut candidates: Vec<_> = shards.iter().take(MAX_SHARDS).flat_map(batchers).collect();
-        candidates.sort_by_key(|(_, it)| relay.batcher_clients.is_avoided(*it));
+        candidates.sort_by_key(|(_, it)| is_last(*it));
+        let candidates = candidates.into();
         let whole = Shard { pool: spec.pool.clone(), domain: None };
         let stage_request = StageRequest {
             id: rand::random(),
@@ -295,32 +307,46 @@
             return Ok(StageOutput { shard, batcher, results: Vec::new() });
         }
         let mut answer = Err(PieceError::Unreachable);
-        let mut down: Option<&Shard> = None;
-        let candidates = std::mem::take(&mut self.candidates);
-        for (candidate, addr) in candidates.iter().take(MAX_REQUESTS) {
-            if down == Some(candidate) {
+        let (mut handed_back, mut own_handed) = (0, false);
+        // The shards that were tried in vain, once for each try.
+        let mut failed: Vec<Shard> = Vec::new();
+        while failed.len() < MAX_REQUESTS
+            && let Some((candidate, addr)) = self.candidates.pop_front()
+        {
+            if failed.iter().filter(|it| **it == candidate).count() >= MAX_BATCHERS {
                 continue;
             }
-            (shard, batcher) = (candidate.clone(), *addr);
+            (shard, batcher) = (candidate, addr);
             let reply = self.submit(&relay, &shard, batcher).await;
-            relay.record_wait(&shard, self.stage_request.priority, reply.wait);
-            answer = reply.answer;
             self.stage_request.repeated = true;
-            match answer {
-                Err(PieceError::Unreachable) => {}
-                Err(PieceError::Down) => {
-                    relay.record_down(&shard);
-                    down = Some(candidate);
+            let Some(reply) = reply else {
+                answer = Err(PieceError::Unreachable);
+                failed.push(shard.clone());
+                continue;
+            };
+            answer = reply.answer;
+            if answer == Err(PieceError::Unreachable) {
+                if batcher == relay.peer && !std::mem::replace(&mut own_handed, true) {
+                    // This instance goes on with what no other takes.
+                    self.candidates.push_back((shard.clone(), batcher));
                 }
-                _ => break,
+                handed_back += 1;
+                continue;
+            }
+            relay.record_wait(&shard, self.stage_request.priority, reply.wait);
+            if answer != Err(PieceError::Down) {
+                break;
             }
+            relay.record_down(&shard);
+            failed.push(shard.clone());
+            self.candidates.retain(|(it, _)| *it != shard);
         }
         let outcome = answer.as_ref().map_or_else(ToString::to_string, |_| "done".to_owned());
         log::info!(
             request = self.stage_request.request_id.as_str(), stage = self.stage_request.stage,
             pool:% = shard.pool, shard:% = shard,
             pieces = self.stage_request.count, gathered_by:% = batcher, outcome = outcome.as_str(),
-            took_ms = began.elapsed().as_millis() as u64;
+            handed_back = handed_back, took_ms = began.elapsed().as_millis() as u64;
             "[relay] stage ended"
         );
         match answer {
@@ -330,17 +356,23 @@
         }
     }
 
-    async fn submit(&self, relay: &Rc<Relay>, shard: &Shard, batcher: SocketAddr) -> StageReply {
+    /// Submits the stage to a batcher and returns the reply, if it can be reached.
+    async fn submit(
+        &self,
+        relay: &Rc<Relay>,
+        shard: &Shard,
+        batcher: SocketAddr,
+    ) -> Option<StageReply> {
         let now = Instant::now();
         let left = |until: Instant| Millis(until.saturating_duration_since(now).as_millis() as u64);
         let (target, deadline) = (left(self.due.target), left(self.due.last()));
         let request =
             StageRequest { shard: shard.clone(), target, deadline, ..self.stage_request.clone() };
         match batcher == relay.peer {
-            true => relay.batchers.submit(request).await,
+            true => Some(relay.batchers.submit(request).await),
             false => tokio::select! {
                 reply = relay.batcher_clients.submit(batcher, request) => reply,
-                () = relay.until_peer_cut(batcher) => StageReply::failed(PieceError::Unreachable),
+                () = relay.until_peer_cut(batcher) => None,
             },
         }
     }
--- /dev/null
+++ b/crates/daemon/tests/batchers.rs
@@ -0,0 +1,283 @@
+//! What becomes of stage requests when their batcher stops, or their submitter is gone.
+
+mod relaying;
+
+use {
+    coord::{
+        catalog::{Catalog, RetryPolicy},
+        ids::Bytes,
+        memory::MemoryUse,
+        relay::Shard,
+        tables::Member,
+        time::Millis,
+    },
+    daemon::{
+        event::Inbox,
+        memory::{Memory, MemorySettings},
+        peers,
+        relay::{
+            BatcherEvent, DrainPhase, Handle, PieceError, PieceInput, StageReply, StageRequest,
+            StoredResult,
+        },
+    },
+    harness::{LONG_TIMEOUT, wait_until},
+    relaying::{
+        Fixture, call, catalog, connect, endpoint, healthy, member, read_response, request, route,
+        scripted, signed_ok, stage, start, start_with_members,
+    },
+    standin::{ReceivedRequest, ScriptedEndpoint, Step},
+    std::{
+        io::Write,
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+            mpsc::sync_channel,
+        },
+        thread::{self, sleep},
+        time::{Duration, Instant},
+    },
+    tokio::sync::{mpsc::unbounded_channel, oneshot},
+};
+
+/// From the start of a shutdown to its end.
+const STOP_BOUND: Duration = Duration::from_millis(3000);
+/// How long before its end a submitter must have its reply.
+const REPLY_MARGIN: Duration = Duration::from_millis(300);
+/// How soon a submitter must have a reply that is known at once.
+const AT_ONCE: Duration = Duration::from_millis(200);
+/// How long a call of pieces takes.
+const CALL_TIME: Duration = Duration::from_millis(400);
+/// Longer than any test.
+const NEVER: Duration = Duration::from_secs(30);
+
+fn staged_catalog() -> Catalog {
+    let mut staged = route(RetryPolicy::Stream);
+    staged.stages = vec![stage(&[])];
+    catalog(staged)
+}
+
+/// Returns a catalog whose calls of pieces may take as long as any test.
+fn slow_catalog() -> Catalog {
+    let mut catalog = staged_catalog();
+    for batch in catalog.services.values_mut().filter_map(|it| it.batch.as_mut()) {
+        batch.call_overhead = Millis(10_000);
+    }
+    catalog
+}
+
+fn is_free(seen: &ReceivedRequest) -> bool {
+    seen.head.starts_with("POST /v1/pieces/free ")
+}
+
+/// Starts an endpoint that makes one result for each piece.
+fn maker() -> ScriptedEndpoint {
+    scripted(|seen, number| {
+        if is_free(seen) {
+            return vec![Step::Send(signed_ok(seen, "{}"))];
+        }
+        let count = String::from_utf8_lossy(&seen.body).matches("\"number\"").count();
+        let results: Vec<_> =
+            (0..count).map(|it| format!("{{\"Ok\":\"h{number}-{it}\"}}")).collect();
+        let body = format!("{{\"results\":[{}]}}", results.join(","));
+        vec![Step::Wait(CALL_TIME), Step::Send(signed_ok(seen, &body))]
+    })
+}
+
+/// Submits a stage request for one piece as another instance does.
+fn submit(relay: &Fixture, id: u64) -> oneshot::Receiver<StageReply> {
+    let (respond, answer) = oneshot::channel();
+    let event = BatcherEvent::Submit { request: Box::new(stage_request(id)), respond };
+    relay.batcher_events.send(event).expect("the batchers run");
+    answer
+}
+
+/// Submits a stage request and waits until it is in a call.
+fn submit_called(
+    relay: &Fixture,
+    pieces: &ScriptedEndpoint,
+    id: u64,
+) -> oneshot::Receiver<StageReply> {
+    let answer = submit(relay, id);
+    wait_until("the piece is called", LONG_TIMEOUT, || !pieces.received().is_empty());
+    answer
+}
+
+/// Begins a shutdown and returns when it ends.
+fn stop(relay: &Fixture) -> Instant {
+    let end = Instant::now() + STOP_BOUND;
+    relay.drain.end_at(end);
+    relay.drain.enter(DrainPhase::Leaving);
+    end
+}
+
+fn reply(answer: oneshot::Receiver<StageReply>) -> StageReply {
+    answer.blocking_recv().expect("a reply")
+}
+
+fn rows(pieces: SocketAddr, app: SocketAddr) -> [coord::tables::Endpoint; 2] {
+    [endpoint("e", "app", app), endpoint("s", "stage", pieces)]
+}
+
+/// Returns an address without a listener.
+fn unused() -> SocketAddr {
+    "127.0.0.2:9".parse().expect("an address")
+}
+
+/// Returns a stage request for one piece.
+fn stage_request(id: u64) -> StageRequest {
+    let shard = Shard { pool: "stage".parse().expect("a name"), domain: None };
+    StageRequest {
+        id,
+        shard,
+        request_id: format!("r{id}"),
+        whole: None,
+        repeated: false,
+        stage: 0,
+        count: 1,
+        input: PieceInput::Source("doc".to_owned()),
+        priority: 1,
+        size: Bytes(1),
+        transfer_size: Bytes(1),
+        preferred_domain: None,
+        target: Millis(10_000),
+        deadline: Millis(15_000),
+    }
+}
+
+/// Starts the peer listeners of instances, each of which answers a stage request with what
+/// `answer` returns, given the number of the request among those of all.
+fn start_peers(
+    count: u64,
+    answer: impl Fn(usize) -> StageReply + Send + Sync + 'static,
+) -> (Vec<Member>, Arc<AtomicUsize>) {
+    let (asked, answer) = (Arc::new(AtomicUsize::new(0)), Arc::new(answer));
+    let listeners: Vec<_> = (0..count)
+        .map(|_| {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            listener.set_nonblocking(true).expect("a listener can be non-blocking");
+            listener
+        })
+        .collect();
+    let addrs = listeners.iter().map(|it| it.local_addr().expect("it has an address"));
+    let members = addrs.zip(2..).map(|(peer, id)| Member { peer, ..member(id, "d") }).collect();
+    let counter = asked.clone();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("the runtime starts").block_on(async move {
+            for listener in listeners {
+                let (sender, mut events) = unbounded_channel();
+                tokio::spawn(serve_peer(listener, sender));
+                let (asked, answer) = (counter.clone(), answer.clone());
+                tokio::spawn(async move {
+                    while let Some(event) = events.recv().await {
+                        if let BatcherEvent::Submit { respond, .. } = event {
+                            // The submitter may be gone.
+                            let _ = respond.send(answer(asked.fetch_add(1, Ordering::SeqCst)));
+                        }
+                    }
+                });
+            }
+            std::future::pending::<()>().await
+        });
+    });
+    (members, asked)
+}
+
+async fn serve_peer(
+    listener: TcpListener,
+    batchers: tokio::sync::mpsc::UnboundedSender<BatcherEvent>,
+) {
+    let (sender, _events) = sync_channel(1);
+    let relaying = MemoryUse { relays: true, ..MemoryUse::default() };
+    let memory = Memory::new(MemorySettings::default(), relaying);
+    peers::serve(listener, "".into(), Inbox::new(sender), batchers, memory).await;
+}
+
+#[test]
+fn a_stopping_batcher_hands_back_what_it_has_not_called() {
+    let pieces = maker();
+    let relay = start(staged_catalog(), &rows(pieces.addr, unused()));
+    let called = submit_called(&relay, &pieces, 1);
+    let queued = submit(&relay, 2);
+
+    stop(&relay);
+    let began = Instant::now();
+    let late = submit(&relay, 3);
+    let handed_back = [reply(queued), reply(late)].map(|it| it.answer);
+    let took = began.elapsed();
+    let unfinished = relay.drain.gathered();
+    let made = reply(called).answer;
+
+    assert_eq!(handed_back, [Err(PieceError::Unreachable), Err(PieceError::Unreachable)]);
+    assert!(took < AT_ONCE, "took {took:?}");
+    assert!(made.is_ok(), "{made:?}");
+    assert_eq!(pieces.received().len(), 1);
+    assert_eq!(unfinished, 1);
+    wait_until("none is left", LONG_TIMEOUT, || relay.drain.gathered() == 0);
+    assert_eq!(relay.drain.handed_back(), (2, 0));
+}
+
+#[test]
+fn a_stopping_batcher_hands_back_what_is_still_called_before_it_ends() {
+    let pieces = scripted(|_, _| vec![Step::Wait(NEVER)]);
+    let relay = start(slow_catalog(), &rows(pieces.addr, unused()));
+    let called = submit_called(&relay, &pieces, 1);
+
+    let end = stop(&relay);
+    let got = reply(called);
+
+    assert!(Instant::now() + REPLY_MARGIN < end, "replied too late");
+    assert_eq!(got.answer, Err(PieceError::Unreachable));
+    assert_eq!(relay.drain.handed_back(), (1, 1));
+}
+
+/// Guards against a sole instance that refuses its own requests as soon as it stops.
+#[test]
+fn a_stopping_instance_that_has_no_other_batcher_finishes_its_stages() {
+    let (pieces, app) = (maker(), healthy("fine"));
+    let relay = start(staged_catalog(), &rows(pieces.addr, app.addr));
+    let text = |id| request(id, "mangobend-pieces: 1\r\n", "");
+    let mut waiting = ["called", "queued"].map(|id| {
+        let mut stream = connect(&relay);
+        stream.write_all(text(id).as_bytes()).expect("the request is sent");
+        wait_until("a piece is called", LONG_TIMEOUT, || !pieces.received().is_empty());
+        stream
+    });
+    wait_until("both are known", LONG_TIMEOUT, || relay.drain.active() == 2);
+
+    stop(&relay);
+    let late = call(&relay, &text("late"));
+
+    let got = waiting.each_mut().map(|it| read_response(it).status);
+    assert_eq!((got, late.status), ([200, 200], 200));
+}
+
+#[test]
+fn stages_reach_a_batcher_that_goes_on_though_many_stop() {
+    const STOPPING: usize = 5;
+    let app = healthy("fine");
+    let (members, asked) = start_peers(10, |number| match number < STOPPING {
+        true => StageReply::failed(PieceError::Unreachable),
+        false => {
+            let endpoint = "s".parse().expect("a name");
+            let result = StoredResult { handle: Handle("h".to_owned()), endpoint };
+            StageReply { answer: Ok(vec![result]), wait: Millis(0) }
+        }
+    });
+    let relay = start_with_members(&members, staged_catalog(), &rows(unused(), app.addr));
+    // Instances with a disk gather nothing.
+    relay.tables.send_modify(|it| {
+        let roster = &mut Arc::make_mut(it).roster;
+        roster.values_mut().filter(|it| it.peer == relay.addr).for_each(|it| it.disk = true);
+    });
+    sleep(Duration::from_millis(200));
+
+    let first = call(&relay, &request("id1", "mangobend-pieces: 1\r\n", ""));
+    let tried = asked.load(Ordering::SeqCst);
+    let second = call(&relay, &request("id2", "mangobend-pieces: 1\r\n", ""));
+
+    assert_eq!((first.status, second.status), (200, 200), "{}", first.text());
+    assert_eq!(tried, STOPPING + 1);
+    assert_eq!(asked.load(Ordering::SeqCst), STOPPING + 2, "the peers that stop are remembered");
+}
