Drop the pieces of submitters that are gone

Batchers went on queueing and calling pieces of stage requests whose submitter had ended: only an explicit cancellation was heard, and the cancellation of a lost connection or a killed process never comes. Such pieces took the endpoints from requests that still had callers, and held room for their results until these expired.

Tests: daemon/tests/batchers.rs. 'pieces_whose_submitter_is_gone_are_not_called' failed before: the second call had the dropped piece. 'a_stage_request_ends_with_the_connection_of_its_submitter' passed before: it guards what this change relies on.

--- a/crates/daemon/src/relay/batcher.rs
+++ b/crates/daemon/src/relay/batcher.rs
@@ -256,6 +256,7 @@
         let Some(batcher) = shards.get_mut(shard) else {
             return;
         };
+        batcher.drop_abandoned();
         if self.drain.phase() >= DrainPhase::Leaving {
             let least = Duration::from_millis(batcher.queue.call_duration(1).0);
             let is_late = !self.drain.can_answer_in(least);
--- a/crates/daemon/src/relay/shard_batcher.rs
+++ b/crates/daemon/src/relay/shard_batcher.rs
@@ -452,6 +452,17 @@
         }
     }
 
+    /// Drops the stage requests whose submitters no longer wait for a reply.
+    pub fn drop_abandoned(&mut self) {
+        let is_gone = |it: &PendingRequest| {
+            it.submitter.borrow().as_ref().is_none_or(|it| it.respond.is_closed())
+        };
+        let gone = self.requests.iter().filter(|(_, it)| is_gone(it)).map(|(id, _)| *id);
+        for id in gone.collect::<Vec<_>>() {
+            self.drop_request(id);
+        }
+    }
+
     /// Drops a stage request and frees its results.
     pub fn drop_request(&mut self, id: u64) {
         let Some(pending) = self.requests.remove(&id) else {
--- a/crates/daemon/tests/batchers.rs
+++ b/crates/daemon/tests/batchers.rs
@@ -21,6 +21,7 @@
         },
     },
     harness::{LONG_TIMEOUT, wait_until},
+    jsonrpsee::{core::client::ClientT, rpc_params, ws_client::WsClientBuilder},
     relaying::{
         Fixture, call, catalog, connect, endpoint, healthy, member, read_response, request, route,
         scripted, signed_ok, stage, start, start_with_members,
@@ -37,7 +38,10 @@
         thread::{self, sleep},
         time::{Duration, Instant},
     },
-    tokio::sync::{mpsc::unbounded_channel, oneshot},
+    tokio::{
+        sync::{mpsc::unbounded_channel, oneshot},
+        time::timeout,
+    },
 };
 
 /// From the start of a shutdown to its end.
@@ -281,3 +285,41 @@
     assert_eq!(tried, STOPPING + 1);
     assert_eq!(asked.load(Ordering::SeqCst), STOPPING + 2, "the peers that stop are remembered");
 }
+
+#[test]
+fn pieces_whose_submitter_is_gone_are_not_called() {
+    let pieces = maker();
+    let relay = start(staged_catalog(), &rows(pieces.addr, unused()));
+    let called = submit_called(&relay, &pieces, 1);
+
+    drop(submit(&relay, 2));
+    let kept = submit(&relay, 3);
+    let made = [reply(called), reply(kept)].map(|it| it.answer.is_ok());
+
+    assert_eq!(made, [true, true]);
+    let bodies: String =
+        pieces.received().iter().map(|it| String::from_utf8_lossy(&it.body).into_owned()).collect();
+    assert!(!bodies.contains("\"r2\""), "{bodies}");
+}
+
+/// Guards against stage requests that outlive the connection that they came on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stage_request_ends_with_the_connection_of_its_submitter() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("a listener can be non-blocking");
+    let addr = listener.local_addr().expect("it has an address");
+    let (sender, mut events) = unbounded_channel();
+    tokio::spawn(serve_peer(listener, sender));
+    let client = WsClientBuilder::default().build(format!("ws://{addr}")).await;
+    let client = client.expect("the peer listens");
+
+    let asked = tokio::spawn(async move {
+        client.request::<StageReply, _>("gather", rpc_params!["", stage_request(1)]).await
+    });
+    let Some(BatcherEvent::Submit { mut respond, .. }) = events.recv().await else {
+        panic!("no stage request");
+    };
+    asked.abort();
+
+    timeout(LONG_TIMEOUT, respond.closed()).await.expect("the request ends");
+}
