Log what a request waited for that a stop ends, and end stops within their bound

Found by the review of the fix, from the source: - A refusal by a stop said only 'ended: stopping', so that waits that last too long could go on unseen. The line 'request is ended by the stop' has what it waited for and how long. - A pause whose end is known to be too late when a stop begins was waited for until the last call; it is looked at again when the stop begins. - Work that came after a stop had been idle ended with the process, without the time to write it; a leader that reached the time limit could take 2 s more for its transfer, past the grace period. - 'The shutdown is complete' never reached the log: the process ends before the log's thread writes.

--- a/crates/daemon/src/core/stop.rs
+++ b/crates/daemon/src/core/stop.rs
@@ -61,6 +61,8 @@
         let owed = relayed + open + self.drain.gathered();
         let busy = !self.router.is_idle() || self.has_settlements() || owed > 0;
         if busy && !timed_out {
+            // What came meanwhile is answered as well.
+            self.stop.as_mut().expect("a stop was started").idle_at = None;
             return;
         }
         if busy && first {
@@ -70,11 +72,18 @@
                 self.router.len() + relayed
             );
         }
-        self.finish_stop(now);
+        if first {
+            let (handed_back, cut_short) = self.drain.handed_back();
+            log::info!(
+                took_ms = elapsed.0, stages_handed_back = handed_back, in_a_call = cut_short;
+                "[stop] Nothing more will be answered."
+            );
+        }
+        self.finish_stop(now, timed_out);
     }
 
     /// Gives up the lease, transfers leadership and exits.
-    fn finish_stop(&mut self, now: Time) {
+    fn finish_stop(&mut self, now: Time, timed_out: bool) {
         let stop = self.stop.as_mut().expect("a stop was started");
         let idle_at = *stop.idle_at.get_or_insert(now);
         if !std::mem::replace(&mut stop.released, true) {
@@ -83,17 +92,14 @@
         }
         let leads = self.voter.as_ref().is_some_and(|it| it.raft().role() == Role::Leader);
         let sole_voter = self.voter.as_ref().is_some_and(|it| it.raft().config().voters.len() <= 1);
-        let timed_out = now.since(idle_at) >= TRANSFER_TIMEOUT;
-        if leads && !sole_voter && !timed_out {
+        // At the time limit little is left of the grace period.
+        let longest = if timed_out { FLUSH_DELAY } else { TRANSFER_TIMEOUT };
+        if leads && !sole_voter && now.since(idle_at) < longest {
             self.voter.as_mut().expect("a leader is a voter").raft_mut().transfer(now);
             return;
         }
         if now.since(idle_at) >= FLUSH_DELAY {
-            let (handed_back, cut_short) = self.drain.handed_back();
-            log::info!(
-                stages_handed_back = handed_back, in_a_call = cut_short;
-                "[stop] The shutdown is complete."
-            );
+            log::info!("[stop] The shutdown is complete.");
             self.exit = Some(ExitCode::SUCCESS);
         }
     }
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -125,9 +125,12 @@
                     None => return self.deny(Denial::NoEndpoint),
                     Some(it) if self.can_wait(it) => {
                         self.record.wait_for(Wait::Pause);
+                        let drain = &self.relay.drain;
                         tokio::select! {
                             () = sleep(it) => {}
-                            () = self.relay.drain.last_call(self.expected_time()) => {}
+                            // The pause may now end too late.
+                            () = drain.begun(), if drain.answer_by().is_none() => {}
+                            () = drain.last_call(self.expected_time()) => {}
                         }
                     }
                     Some(it) if self.would_be_cut_off(it) => return self.deny_stopping(),
@@ -242,7 +245,8 @@
     /// Whether a graceful shutdown would end before the request does if it is sent after a
     /// pause.
     fn would_be_cut_off(&self, pause: Duration) -> bool {
-        !self.relay.drain.can_answer_in(pause + self.expected_time())
+        let drain = &self.relay.drain;
+        drain.answer_by().is_some() && !drain.can_answer_in(pause + self.expected_time())
     }
 
     /// Estimates how long the request takes at an endpoint, to the end of its answer.
--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -142,12 +142,11 @@
     let drain = relay.drain.clone();
     let support = Rc::new(ChunkSupport::default());
     let (noted, watched) = (support.clone(), guard.clone());
-    let open = Rc::new(OnceCell::new());
-    let opened = open.clone();
+    let open = OnceCell::new();
     let service = service_fn(move |mut request| {
         noted.note(&request);
         guard.begin(&mut request);
-        opened.get_or_init(|| relay.drain.open_connection());
+        open.get_or_init(|| relay.drain.open_connection());
         let (relay, guard) = (relay.clone(), guard.clone());
         async move {
             let response = handle(relay, request).await;
@@ -183,7 +182,6 @@
     if ended.is_err() {
         support.close_failed(connection.into_parts().io.into_inner().into_tcp());
     }
-    drop(open);
 }
 
 /// Minimum size of the server's read buffer.
--- a/crates/daemon/src/relay/progress.rs
+++ b/crates/daemon/src/relay/progress.rs
@@ -86,6 +86,16 @@
         self.may_have_run.set(may_have_run);
     }
 
+    /// Logs what a request waited for that isn't served because this instance stops.
+    pub fn log_stopped(&self) {
+        let (wait, since) = self.wait.get();
+        log::info!(
+            request = self.request.as_str(), waits_for = wait.name(),
+            waited_ms = since.elapsed().as_millis() as u64, sends = self.sends.get();
+            "[relay] request is ended by the stop"
+        );
+    }
+
     /// Notes that a stop ends the request before its answer began. Returns what its caller is
     /// told.
     pub fn stop(&self) -> Denial {
--- a/crates/daemon/src/relay/record.rs
+++ b/crates/daemon/src/relay/record.rs
@@ -141,6 +141,9 @@
         if std::mem::replace(&mut self.finished, true) {
             return;
         }
+        if self.progress.stopped().is_some() || outcome == Denial::Stopping.name() {
+            self.progress.log_stopped();
+        }
         let took = self.received.elapsed();
         let first = self.first.map(|it| it.duration_since(self.received));
         log::info!(
