Refuse requests at their deadline while their stages are called

Requests whose stage was called at an endpoint that doesn't answer were refused after their deadline, when the call ended: 4.1 s after they were sent with a deadline of 2 s.

Cause: the wait for stages had no time limit of its own. Pieces in the queue are given up in time, but pieces in a call wait for its time limit, which is three times its expected time and 0.5 s. The class: a wait that is bounded by something other than what ends it.

Change: the stages of a request end at its deadline. It is refused (503, 'too_late'), its pieces are cancelled and results released.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -421,16 +421,36 @@
         return Err((Denial::Withheld, Some(RETRY_AFTER_TRIAL)));
     }
     record.wait_for(Wait::Stages);
-    let mut results = stages::run(relay, request, &whole, body.len()).await;
-    if matches!(results, Err(StagesError::Failed(PieceError::Gone))) {
-        results = stages::run(relay, request, &whole, body.len()).await;
+    let running = run_stages(relay, request, &whole, body.len());
+    // A call of pieces may take longer than the request has time.
+    match timeout_at(request.deadline.into(), running).await {
+        Ok(Ok(it)) => Ok((body, whole, it)),
+        Ok(Err(err)) => Err(deny_stages(err)),
+        Err(_) => Err(deny_stages(StagesError::Failed(PieceError::Late))),
     }
-    match results {
-        Ok(it) => Ok((body, whole, it)),
-        Err(StagesError::Stopping) => Err((Denial::Stopping, Some(RETRY_AFTER_STOPPING))),
-        Err(StagesError::Failed(PieceError::Late)) => {
-            Err((Denial::TooLate, Some(RETRY_AFTER_STAGES)))
+}
+
+/// Runs the stages, a second time if a result was lost.
+async fn run_stages(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    whole: &Suspect,
+    size: usize,
+) -> Result<StageResults, StagesError> {
+    match stages::run(relay, request, whole, size).await {
+        Err(StagesError::Failed(PieceError::Gone)) => {
+            stages::run(relay, request, whole, size).await
         }
-        Err(StagesError::Failed(_)) => Err((Denial::NoEndpoint, Some(RETRY_AFTER_STAGES))),
+        result => result,
+    }
+}
+
+/// Returns the denial of a request whose stages have no results, and after which time it may come
+/// back.
+fn deny_stages(err: StagesError) -> (Denial, Option<Millis>) {
+    match err {
+        StagesError::Stopping => (Denial::Stopping, Some(RETRY_AFTER_STOPPING)),
+        StagesError::Failed(PieceError::Late) => (Denial::TooLate, Some(RETRY_AFTER_STAGES)),
+        StagesError::Failed(_) => (Denial::NoEndpoint, Some(RETRY_AFTER_STAGES)),
     }
 }
