Refuse streams to be taken up at their deadline

A request that takes up a stream waited up to 0.5 s for the answer what the stream came from, even if its deadline was sooner.

Cause: that question has a time limit of its own, and the request's deadline wasn't looked at.

Change: the sooner of both ends it.

--- a/crates/daemon/src/relay/stream_recorder.rs
+++ b/crates/daemon/src/relay/stream_recorder.rs
@@ -17,7 +17,7 @@
     },
     tokio::{
         sync::{Notify, oneshot, watch},
-        time::{sleep, timeout},
+        time::{sleep, timeout, timeout_at},
     },
 };
 
@@ -103,8 +103,9 @@
             log::warn!(request = request.id.as_str(); "[relay] core loop busy, stream not looked up");
             return None;
         }
+        let limit = request.deadline.min(Instant::now() + QUERY_TIMEOUT);
         // No answer in time counts as one that isn't certain.
-        timeout(QUERY_TIMEOUT, answer).await.ok()?.ok().flatten()
+        timeout_at(limit.into(), answer).await.ok()?.ok().flatten()
     }
 
     async fn watch_mixed(self: Rc<Self>, mut mixed: watch::Receiver<Arc<IndexSet<PoolName>>>) {
--- a/crates/daemon/tests/deadlines.rs
+++ b/crates/daemon/tests/deadlines.rs
@@ -47,3 +47,22 @@
     assert_eq!(pieces.received().len(), 1);
     assert!(app.received().is_empty());
 }
+
+/// Guards against requests that wait for the time limit of a question instead of their own.
+#[test]
+fn a_stream_whose_origin_is_not_known_by_its_deadline_is_refused_then() {
+    let app = healthy("fine");
+    let relay =
+        start(catalog(route(RetryPolicy::ResumableStream)), &[endpoint("e", "app", app.addr)]);
+    let core = relay.origin.lock().expect("lock poisoned");
+    let text = request("id", "last-event-id: 1\r\nmangobend-resumes: a\r\n", "");
+
+    let began = Instant::now();
+    let got = call(&relay, &text.replace("deadline-ms: 2000", "deadline-ms: 50"));
+
+    let took = began.elapsed();
+    drop(core);
+    assert!(took < Duration::from_millis(300), "took {took:?}");
+    assert_eq!((got.status, got.text().as_str()), (503, "unresumable"));
+    assert!(app.received().is_empty());
+}
