Let requests in a pause follow changes of the tables

A request that waited for the pause that its endpoint had asked for waited on in vain when the endpoint left the tables (gone, moved to another pool or its failure domain evacuated): 4.1 s of a pause of 4 s until it was refused. It also waited for the whole pause though another endpoint had come that could serve it.

Cause: which endpoints there are was only looked at before and after the pause.

Change: a change of the tables that leaves nothing to wait for ends the wait, spread over 0.3 s like the end of a pause. The request is then sent to another endpoint, or refused (503, 'no_endpoint').

--- a/crates/daemon/src/relay/choice.rs
+++ b/crates/daemon/src/relay/choice.rs
@@ -12,7 +12,8 @@
         tables::Endpoint,
         time::Millis,
     },
-    std::time::Duration,
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
 };
 
 /// Spread of the requests that wait for an endpoint's pause to end: about a time of
@@ -152,4 +153,19 @@
         let spread = rand::random_range(0..RETURN_SPREAD.0);
         Some(Duration::from_millis(at.since(now).0 + spread))
     }
+
+    /// Waits until a change of the tables leaves nothing to wait for before a pause ends: there is
+    /// another endpoint, or none. Spread like the end of the pause, whose own spread is left to
+    /// it.
+    pub(super) async fn pause_overtaken(&self, tried: &[EndpointName], pause: Duration) {
+        let spread = Duration::from_millis(RETURN_SPREAD.0);
+        let end = Instant::now() + pause.saturating_sub(spread);
+        loop {
+            self.relay.view_changed().await;
+            if Instant::now() < end && self.pause_left(tried).is_none() {
+                break;
+            }
+        }
+        sleep(spread.mul_f64(rand::random())).await;
+    }
 }
--- a/crates/daemon/src/relay/forward.rs
+++ b/crates/daemon/src/relay/forward.rs
@@ -128,6 +128,7 @@
                         let drain = &self.relay.drain;
                         tokio::select! {
                             () = sleep(it) => {}
+                            () = self.pause_overtaken(&tried, it) => {}
                             // The pause may now end too late.
                             () = drain.begun(), if drain.answer_by().is_none() => {}
                             () = drain.last_call(self.expected_time()) => {}
--- a/crates/daemon/src/relay/relay.rs
+++ b/crates/daemon/src/relay/relay.rs
@@ -43,7 +43,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{mpsc, watch},
+        sync::{Notify, mpsc, watch},
         time::{MissedTickBehavior, interval},
     },
 };
@@ -116,6 +116,7 @@
     counted: Counted,
     pub(super) load: SharedLoad,
     view: RefCell<Rc<View>>,
+    reloaded: Notify,
     budgets: RefCell<HashMap<PoolName, RetryBudget>>,
     queue_waits: RefCell<QueueWaits>,
     run_times: RefCell<Estimator>,
@@ -254,6 +255,7 @@
             counted: Rc::default(),
             load,
             view: RefCell::new(Rc::new(View::new(tables.borrow_and_update().clone()))),
+            reloaded: Notify::new(),
             budgets: RefCell::default(),
             queue_waits: RefCell::default(),
             run_times: RefCell::default(),
@@ -279,6 +281,11 @@
         self.view.borrow().clone()
     }
 
+    /// Waits until the tables change after this call.
+    pub async fn view_changed(&self) {
+        self.reloaded.notified().await;
+    }
+
     /// Whether the load balancer may send callers to this instance.
     pub fn is_ready(&self) -> bool {
         self.view().has_catalog() && self.drain.phase() == DrainPhase::Open
@@ -416,6 +423,7 @@
         self.notices.reload(&view.tables);
         self.reload_rollouts(&view.tables);
         self.batchers.reload(&view);
+        self.reloaded.notify_waiters();
     }
 
     fn reload_rollouts(&self, tables: &Tables) {
