Close callers' connections gracefully when a planned stop refuses new requests

Callers of the own interface kept connections until the process ended, and got no sign on them that it was ending: what they sent last was cut off. A request whose body was still being read when the stop refused new ones waited for its body (up to 10 s) though its refusal was certain. A request that the stop ended with an unknown outcome had status 503, which is for requests that may be repeated.

Cause: the callers' listener didn't know of the stop; only the relay's connections did.

Change: the listener has the DrainState. From the start of a stop each answer has Connection: close. Once new requests are refused, used connections are shut down gracefully; those without a request yet stay, since hyper would close them though their first request may be under way: it gets its 503. Requests whose bodies are unread are refused then, or at the last call if that is earlier. "stopping" with an unknown outcome has status 502; one that hasn't run has Retry-After: 0, as the relay's.

--- a/crates/daemon/src/callers/reply.rs
+++ b/crates/daemon/src/callers/reply.rs
@@ -42,9 +42,10 @@
     }
 }
 
-/// The HTTP status for the reason of an error.
-pub fn status_code(reason: Reason) -> StatusCode {
-    match reason {
+/// The HTTP status of an error. Clients may repeat a request after 503.
+pub fn status_code(err: &CallerError) -> StatusCode {
+    match err.reason {
+        Reason::Stopping if err.outcome != Outcome::NotRun => StatusCode::BAD_GATEWAY,
         Reason::BadRequest | Reason::BadDeadline | Reason::KeyMissing => StatusCode::BAD_REQUEST,
         Reason::UnknownRoute => StatusCode::NOT_FOUND,
         Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -13,11 +13,12 @@
             BodyBounds, BodyError, GuardedBody, GuardedStream, Memory, Share, client_addr,
             read_held,
         },
+        relay::{DrainPhase, DrainState},
     },
     coord::{
         ids::RequestId,
         memory::ConnectionClass,
-        router::{Failure, Reason, Submission},
+        router::{Failure, RETRY_AFTER_STOPPING, Reason, Submission},
         time::Millis,
         wire::{CallerError, CallerRequest},
     },
@@ -33,6 +34,7 @@
     std::{
         convert::Infallible,
         net::TcpListener,
+        pin::Pin,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -66,6 +68,24 @@
     /// this instance.
     pub ready: Arc<AtomicBool>,
     pub memory: Memory,
+    pub drain: Arc<DrainState>,
+}
+
+/// Why a request wasn't passed on. It has not run.
+struct Refusal {
+    status: StatusCode,
+    failure: Failure,
+}
+
+impl Refusal {
+    fn bad_request(status: StatusCode, detail: String) -> Self {
+        Self { status, failure: Failure::not_run(Reason::BadRequest, detail) }
+    }
+
+    fn unavailable(reason: Reason, detail: String, retry_after: Millis) -> Self {
+        let failure = Failure::not_run(reason, detail).retry_after(retry_after);
+        Self { status: StatusCode::SERVICE_UNAVAILABLE, failure }
+    }
 }
 
 /// Serves callers until the process ends.
@@ -88,30 +108,52 @@
     let guard = stream.guard().clone();
     let support = Arc::new(ChunkSupport::default());
     let (noted, watched) = (support.clone(), guard.clone());
+    let drain = context.drain.clone();
+    let is_used = Arc::new(AtomicBool::new(false));
+    let used = is_used.clone();
     let service = service_fn(move |mut request| {
+        used.store(true, Ordering::Relaxed);
         noted.note(&request);
         guard.begin(&mut request);
         let (context, guard) = (context.clone(), guard.clone());
         async move {
-            let answer = answer(context, request).await;
+            let mut answer = answer(&context, request).await;
+            if context.drain.phase() != DrainPhase::Open {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(answer.map(|it| GuardedBody::new(it, guard)))
         }
     });
     let mut server = http1::Builder::new();
     server.max_buf_size(MAX_HEADER_BYTES);
     let mut connection = server.serve_connection(TokioIo::new(stream), service);
-    let is_cut = tokio::select! {
-        it = &mut connection => it.is_err(),
-        () = watched.closed() => true,
+    let ended = tokio::select! {
+        it = &mut connection => Some(it.is_err()),
+        () = watched.closed() => Some(true),
+        () = drain.closed() => None,
+    };
+    let is_cut = match ended {
+        Some(it) => it,
+        None => {
+            // Before its first request a connection would be closed, though one may be
+            // under way.
+            if is_used.load(Ordering::Relaxed) {
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            tokio::select! {
+                it = &mut connection => it.is_err(),
+                () = watched.closed() => true,
+            }
+        }
     };
     if is_cut {
         support.close_failed(connection.into_parts().io.into_inner().into_tcp());
     }
 }
 
-async fn answer(context: Arc<CallerContext>, request: Request<Incoming>) -> Answer {
+async fn answer(context: &CallerContext, request: Request<Incoming>) -> Answer {
     match (request.method(), request.uri().path()) {
-        (&Method::POST, "/v1/requests") => submit(&context, request).await,
+        (&Method::POST, "/v1/requests") => submit(context, request).await,
         (&Method::GET, "/live") => plain(StatusCode::OK, "live\n"),
         (&Method::GET, "/ready") => match context.ready.load(Ordering::Relaxed) {
             true => plain(StatusCode::OK, "ready\n"),
@@ -123,9 +165,17 @@
 
 async fn submit(context: &CallerContext, request: Request<Incoming>) -> Answer {
     // The input that is made of the body takes its room until the answer is known.
-    let (parsed, share) = match read_request(context, request).await {
+    let read = tokio::select! {
+        it = read_request(context, request) => it,
+        () = refuses_new(&context.drain) => Err(Refusal::unavailable(
+            Reason::Stopping,
+            "this instance is about to stop".to_owned(),
+            RETRY_AFTER_STOPPING,
+        )),
+    };
+    let (parsed, share) = match read {
         Ok(it) => it,
-        Err((status, detail)) => return refuse(status, detail),
+        Err(it) => return refuse(it),
     };
     let id = RequestId::generate();
     let stream = parsed.stream;
@@ -152,12 +202,17 @@
     }
 }
 
-/// Refuses a request whose body wasn't read. It has not run.
-fn refuse(status: StatusCode, detail: String) -> Answer {
-    let is_full = status == StatusCode::SERVICE_UNAVAILABLE;
-    let reason = if is_full { Reason::Overload } else { Reason::BadRequest };
-    let retry_after = is_full.then_some(RETRY_AFTER_FULL);
-    let failure = Failure { retry_after, ..Failure::not_run(reason, detail) };
+/// Waits until requests whose bodies aren't read yet are refused.
+async fn refuses_new(drain: &DrainState) {
+    tokio::select! {
+        () = drain.closed() => {}
+        () = drain.last_call(Duration::ZERO) => {}
+    }
+}
+
+/// Refuses a request whose body wasn't read.
+fn refuse(refusal: Refusal) -> Answer {
+    let Refusal { status, failure } = refusal;
     let mut answer = error_response(status, &caller_error(None, failure));
     if status == StatusCode::REQUEST_TIMEOUT {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -168,24 +223,33 @@
 async fn read_request(
     context: &CallerContext,
     request: Request<Incoming>,
-) -> Result<(CallerRequest, Option<Share>), (StatusCode, String)> {
+) -> Result<(CallerRequest, Option<Share>), Refusal> {
     let bounds = BodyBounds::of_client(context.max_body, client_addr(request.extensions()));
     let read = read_held(&context.memory.callers, request.into_body(), &bounds);
     let body = match timeout(BODY_TIMEOUT, read).await {
         Ok(Ok(it)) => it,
         Ok(Err(err)) => {
-            let status = match err {
-                BodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-                BodyError::Broken { .. } => StatusCode::BAD_REQUEST,
-                BodyError::Stalled => StatusCode::REQUEST_TIMEOUT,
-                BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
-            };
-            return Err((status, err.to_string()));
+            let detail = err.to_string();
+            return Err(match err {
+                BodyError::TooLong { .. } => {
+                    Refusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE, detail)
+                }
+                BodyError::Broken { .. } => Refusal::bad_request(StatusCode::BAD_REQUEST, detail),
+                BodyError::Stalled => Refusal::bad_request(StatusCode::REQUEST_TIMEOUT, detail),
+                BodyError::NoRoom => {
+                    Refusal::unavailable(Reason::Overload, detail, RETRY_AFTER_FULL)
+                }
+            });
+        }
+        Err(_) => {
+            let detail = "the body took too long".to_owned();
+            return Err(Refusal::bad_request(StatusCode::REQUEST_TIMEOUT, detail));
         }
-        Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body took too long".to_owned())),
     };
-    let request = serde_json::from_slice(body.as_ref())
-        .map_err(|err| (StatusCode::BAD_REQUEST, format!("the body can't be understood: {err}")))?;
+    let request = serde_json::from_slice(body.as_ref()).map_err(|err| {
+        let detail = format!("the body can't be understood: {err}");
+        Refusal::bad_request(StatusCode::BAD_REQUEST, detail)
+    })?;
     Ok((request, body.into_parts().1))
 }
 
@@ -199,7 +263,7 @@
             guard.finish();
             return match into_answer(id, *finish) {
                 Ok(it) => json(StatusCode::OK, &it),
-                Err(it) => error_response(status_code(it.reason), &it),
+                Err(it) => error_response(status_code(&it), &it),
             };
         }
     }
@@ -217,7 +281,7 @@
         Some(CallerReply::Finish(finish)) if finish.result.is_err() => {
             guard.finish();
             let err = into_answer(id, *finish).expect_err("the request failed");
-            return error_response(status_code(err.reason), &err);
+            return error_response(status_code(&err), &err);
         }
         Some(it) => it,
         None => return core_ended(id),
@@ -246,8 +310,7 @@
 fn error_response(status: StatusCode, err: &CallerError) -> Answer {
     let mut answer = json(status, err);
     if let Some(after) = err.retry_after_ms {
-        let seconds = after.div_ceil(1000).max(1);
-        answer.headers_mut().insert(RETRY_AFTER, seconds.into());
+        answer.headers_mut().insert(RETRY_AFTER, after.div_ceil(1000).into());
     }
     answer
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -175,6 +175,7 @@
         max_connections: settings.max_connections,
         ready: ready.clone(),
         memory: memory.clone(),
+        drain: drain.clone(),
     };
     let (batchers, batcher_events) = unbounded_channel();
     let peer_secret = settings.peer.secret.clone();
