Let a planned stop wait for answers of the own interface that callers have yet to take

Its callers' connections are counted now, too.

Test: daemon/tests/callers.rs; without the count it fails (open connections 0, the whole answer still comes as the listener lives on there).

--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -36,7 +36,7 @@
         net::TcpListener,
         pin::Pin,
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
@@ -111,8 +111,10 @@
     let drain = context.drain.clone();
     let is_used = Arc::new(AtomicBool::new(false));
     let used = is_used.clone();
+    let open = OnceLock::new();
     let service = service_fn(move |mut request| {
         used.store(true, Ordering::Relaxed);
+        open.get_or_init(|| context.drain.open_connection());
         noted.note(&request);
         guard.begin(&mut request);
         let (context, guard) = (context.clone(), guard.clone());
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -81,7 +81,12 @@
 }
 
 fn request(version: &str) -> String {
-    let body = r#"{"route":"r","team":"t","class":"interactive","deadline_ms":1000,"stream":true,"input":""}"#;
+    request_of(version, true)
+}
+
+fn request_of(version: &str, is_stream: bool) -> String {
+    let fields = r#""route":"r","team":"t","class":"interactive","deadline_ms":1000,"input":"""#;
+    let body = format!("{{{fields},\"stream\":{is_stream}}}");
     format!(
         "POST /v1/requests {version}\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
@@ -199,3 +204,29 @@
 
     assert_eq!((got.status, got.header("connection")), (503, Some("close")), "{got:?}");
 }
+
+#[test]
+fn a_stop_waits_until_callers_of_the_own_interface_have_taken_their_answers() {
+    let long = "x".repeat(8 << 20);
+    let size = long.len();
+    let reply = move |_| {
+        let finish = Finish { result: Ok(long.clone()), stages: Vec::new(), stored: false };
+        vec![CallerReply::Finish(Box::new(finish))]
+    };
+    let (addr, drain) = start_stoppable(reply);
+    let mut slow = connect(addr);
+    slow.write_all(request_of("HTTP/1.1", false).as_bytes()).expect("the request is sent");
+    let mut start = [0; 12];
+    slow.read_exact(&mut start).expect("the answer has begun");
+
+    drain.end_at(Instant::now() + Duration::from_secs(20));
+    drain.enter(DrainPhase::Closed);
+    thread::sleep(Duration::from_millis(200));
+    let open = drain.open();
+    let mut rest = Vec::new();
+    slow.read_to_end(&mut rest).expect("the answer is whole");
+
+    assert_eq!((&start[9..], open), (&b"200"[..], 1));
+    assert!(rest.len() > size, "{}", rest.len());
+    harness::wait_until("the connection has ended", harness::LONG_TIMEOUT, || drain.open() == 0);
+}
