Refuse requests at once that get no share of their stage's pool in time

Cause: a new leader raises no share until each instance in its roster has reported, or until a lease, its margin and the longest deadline are over. Instances without a share weren't told, and took requests that couldn't get one by their deadlines.

Change: replies to renewals say for how long no share is expected to be raised (shares_in, optional): the time until unreported shares are out of use, once no instance that is waited for may hold a lease any more. Before that the leader expects it to report soon, and says nothing. An instance without a slot of a pool refuses what can't be done after that time, new or queued: "overload", not run, with a retry time. When shares are raised is unchanged, since what lost instances have sent may still run.

--- a/crates/coord/src/control/renew.rs
+++ b/crates/coord/src/control/renew.rs
@@ -221,6 +221,10 @@
     /// The voters, if the request knows others.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub voters: Option<VoterList>,
+    /// For how long no share is expected to be raised: a new leader waits for instances that
+    /// hold no lease any more.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shares_in: Option<Millis>,
 }
 
 /// The reason for which a renewal is refused.
--- a/crates/coord/src/control/renewals.rs
+++ b/crates/coord/src/control/renewals.rs
@@ -204,6 +204,7 @@
         });
         reply.rollouts = self.rollouts.take_grants(holder);
         reply.load = self.load_reply(now, &it.request);
+        reply.shares_in = self.shares_in(now);
         self.completions.push(Completion::Renewal(it.token, Box::new(Ok(reply))));
     }
 
@@ -279,6 +280,7 @@
                 .voters
                 .filter(|it| *it != self.raft.config_index())
                 .map(|_| VoterList::of(&self.raft)),
+            shares_in: None,
         }
     }
 
@@ -292,8 +294,19 @@
     /// Whether shares may be raised. A new leader waits until each instance has
     /// reported its shares, or shares that weren't reported can no longer be in use.
     fn may_raise(&self, now: Time) -> bool {
-        let settled = self.raft.leader_since() + LEASE_DURATION + LEASE_MARGIN + self.drain_time();
-        now >= settled || self.unreported.is_empty()
+        now >= self.settled_at() || self.unreported.is_empty()
+    }
+
+    /// Returns the time from which shares that weren't reported are out of use.
+    fn settled_at(&self) -> Time {
+        self.raft.leader_since() + LEASE_DURATION + LEASE_MARGIN + self.drain_time()
+    }
+
+    /// Returns for how long no share is expected to be raised. Instances that may hold a lease
+    /// are expected to report soon, others not at all.
+    fn shares_in(&self, now: Time) -> Option<Millis> {
+        let is_soon = self.unreported.iter().any(|it| self.leases.may_hold(*it, now));
+        (!is_soon && !self.may_raise(now)).then(|| self.settled_at().since(now))
     }
 }
 
--- a/crates/coord/src/router/admission.rs
+++ b/crates/coord/src/router/admission.rs
@@ -71,7 +71,7 @@
     }
 
     /// Refuses a request that is expected to take longer than its deadline, or than a graceful
-    /// shutdown.
+    /// shutdown, or to get no share in time.
     fn check_expected_time(
         &self,
         now: Time,
@@ -85,6 +85,11 @@
             let failure = Failure::not_run(Reason::Stopping, detail);
             return Err(failure.retry_after(RETRY_AFTER_STOPPING));
         }
+        let share_at = self.next_share_at(&stages[0].pool);
+        if share_at.is_some_and(|it| it + needed > now + submission.deadline) {
+            let detail = "no share of the stage's pool comes in time";
+            return Err(Failure::not_run(Reason::Overload, detail).retry_after(MIN_RETRY_AFTER));
+        }
         if needed <= submission.deadline {
             return Ok(());
         }
--- a/crates/coord/src/router/picker.rs
+++ b/crates/coord/src/router/picker.rs
@@ -257,6 +257,12 @@
         rows.map(|it| if shares { it.granted } else { it.slots }).sum()
     }
 
+    /// Whether endpoints of a pool are in service and this instance may use none of their
+    /// slots.
+    pub fn lacks_share(&self, pool: &PoolName) -> bool {
+        self.has_endpoint(pool) && self.capacity(pool) == 0
+    }
+
     /// Whether any endpoint of a pool is in service.
     pub fn has_endpoint(&self, pool: &PoolName) -> bool {
         self.rows.values().any(|it| it.pool == *pool && it.in_service)
--- a/crates/coord/src/router/router.rs
+++ b/crates/coord/src/router/router.rs
@@ -70,6 +70,8 @@
     pub(super) global_ratios: IndexMap<TeamName, f64>,
     pub(super) limits: Limits,
     pub(super) leased: bool,
+    /// When shares are expected to be raised again, if they aren't now.
+    pub(super) shares_at: Option<Time>,
     pub(super) stopping: bool,
     /// When the last answers must begin before the process ends, once a graceful shutdown has
     /// begun.
@@ -101,6 +103,7 @@
             global_ratios: IndexMap::new(),
             limits,
             leased: false,
+            shares_at: None,
             stopping: false,
             answer_by: None,
         }
@@ -141,6 +144,12 @@
         self.leased = leased;
     }
 
+    /// Sets when shares are expected to be raised again, if they aren't now. Requests that wait
+    /// for one until after their deadline are refused.
+    pub fn set_shares_at(&mut self, time: Option<Time>) {
+        self.shares_at = time;
+    }
+
     /// Begins a graceful shutdown, in which the last answers must begin by `answer_by`.
     /// Requests that can't be done by then are refused from now on.
     pub fn begin_stop(&mut self, now: Time, answer_by: Time) {
@@ -315,6 +324,19 @@
         self.answer_by.is_some_and(|it| start + needed >= it)
     }
 
+    /// Returns when shares of a pool are expected, if this instance has none.
+    pub(super) fn next_share_at(&self, pool: &PoolName) -> Option<Time> {
+        self.shares_at.filter(|_| self.picker.lacks_share(pool))
+    }
+
+    /// Whether a request gets no share of its stage's pool in time.
+    fn lacks_share(&self, request: &Request) -> bool {
+        let needed =
+            self.expected_time(&request.stages[request.stage..], request.submission.input.len());
+        let share_at = self.next_share_at(&request.stage().pool);
+        share_at.is_some_and(|it| it + needed > request.deadline)
+    }
+
     /// Fails a request because of a graceful shutdown.
     pub(super) fn fail_stopping(&mut self, now: Time, id: RequestId) {
         self.fail(now, id, Reason::Stopping, "this instance stops before the request could end");
@@ -451,6 +473,10 @@
             self.fail_stopping(now, id);
             return;
         }
+        if is_queued && self.lacks_share(request) {
+            self.fail(now, id, Reason::Overload, "no share of the stage's pool comes in time");
+            return;
+        }
         if let Phase::Claiming { retry_at: Some(retry_at) } = request.phase
             && now >= retry_at
         {
--- a/crates/coord/tests/catalog_delta.rs
+++ b/crates/coord/tests/catalog_delta.rs
@@ -92,6 +92,7 @@
         cut: Default::default(),
         rollouts: Vec::new(),
         voters: None,
+        shares_in: None,
     }
 }
 
--- a/crates/coord/tests/large_fleets.rs
+++ b/crates/coord/tests/large_fleets.rs
@@ -4,7 +4,8 @@
     coord::{
         catalog::{Catalog, RelayRoute, RetryPolicy, Split},
         control::{
-            Completion, Demand, Holding, RenewError, RenewReply, RenewRequest, Token, Update, Voter,
+            Completion, Demand, Holding, LEASE_DURATION, LEASE_MARGIN, RenewError, RenewReply,
+            RenewRequest, Token, Update, Voter,
         },
         ids::{
             Bytes, CatalogVersion, ChangeId, Generation, Incarnation, Index, NodeId, PoolName,
@@ -142,6 +143,8 @@
     is_known: bool,
     /// Whether its renewals get lost.
     is_silent: bool,
+    /// For how long it was told to expect no share.
+    shares_in: Option<Millis>,
     /// The instances that it was told to be of no use.
     cut: IndexSet<NodeId>,
     /// Whether it asks for shared load, and its view of it.
@@ -269,6 +272,7 @@
         it.replies += 1;
         it.updates.0 += json_size(&reply.update).0;
         it.cut = reply.cut.clone();
+        it.shares_in = reply.shares_in;
         it.is_known = !reply.want_holdings;
         it.load_size.0 += reply.load.as_ref().map_or(0, |it| json_size(it).0);
         it.load.apply(self.now, self.now, reply.load.as_ref());
@@ -405,6 +409,24 @@
     }
 }
 
+#[test]
+fn instances_are_told_when_shares_come_that_wait_for_a_lost_instance() {
+    let mut fleet = Fleet::new(4, 5, true);
+    fleet.instances[3].is_silent = true;
+    let lease = LEASE_DURATION + LEASE_MARGIN;
+
+    fleet.run(Millis(lease.0 - 200));
+    let before = fleet.instances[0].shares_in;
+    fleet.run(Millis(800));
+    let lost = fleet.instances[0].shares_in;
+    fleet.run(Millis(1000));
+
+    assert_eq!(before, None, "it may hold a lease, and report");
+    let left = lost.expect("shares wait for it");
+    assert!((1..1000).contains(&left.0), "the longest deadline is 1 s: {left}");
+    assert_eq!(fleet.instances[0].shares_in, None);
+}
+
 #[test]
 fn shares_are_not_divided_where_no_route_needs_them() {
     let mut fleet = Fleet::new(300, 319, false);
--- a/crates/coord/tests/renewal_forms.rs
+++ b/crates/coord/tests/renewal_forms.rs
@@ -98,6 +98,7 @@
         reply(r#"{"steps":[]}"#),
         reply(r#"{"packed_deltas":"ABC="}"#),
         reply(r#"{"packed_tables":{"tables":"ABC=","catalog":"ABC="}}"#),
+        reply(r#""same""#).replace("true}", r#"true,"shares_in":700}"#),
     ] {
         assert_eq!(rewrite::<RenewReply>(&json), json);
     }
--- a/crates/coord/tests/routing.rs
+++ b/crates/coord/tests/routing.rs
@@ -682,3 +682,46 @@
     assert_eq!((ends.len(), unknown), (3, 2), "{ends:?}");
     assert_refused_by_stop(&ends[2]);
 }
+
+#[test]
+fn a_request_that_gets_no_share_in_time_is_refused_at_once() {
+    let mut router = router(0);
+    router.set_shares_at(Some(NOW + Millis(2001)));
+
+    router.submit(NOW, submission("two"));
+
+    let failure = take_failures(&mut router).remove(0);
+    assert_eq!((failure.outcome, failure.reason), (Outcome::NotRun, Reason::Overload));
+    assert!(failure.retry_after.is_some());
+}
+
+#[test]
+fn a_queued_request_is_refused_once_it_is_known_to_get_no_share_in_time() {
+    let mut router = router(0);
+    router.submit(NOW, submission("two"));
+    router.tick(NOW + Millis(100));
+    let before = take_failures(&mut router);
+
+    router.set_shares_at(Some(NOW + Millis(2001)));
+    router.tick(NOW + Millis(200));
+
+    let after = take_failures(&mut router);
+    assert!(before.is_empty(), "{before:?}");
+    assert_eq!(after.len(), 1);
+    assert_eq!((after[0].outcome, after[0].reason), (Outcome::NotRun, Reason::Overload));
+}
+
+#[test]
+fn a_request_waits_for_a_share_that_comes_in_time() {
+    let (mut without, mut with) = (router(0), router(1));
+    without.set_shares_at(Some(NOW + Millis(1000)));
+    with.set_shares_at(Some(NOW + Millis(9000)));
+
+    for router in [&mut without, &mut with] {
+        router.submit(NOW, submission("two"));
+        router.tick(NOW + Millis(100));
+    }
+
+    assert!(take_failures(&mut without).is_empty());
+    assert_eq!(take_calls(&mut with).len(), 1, "a share that is held may be used");
+}
--- a/crates/daemon/src/core/renewals.rs
+++ b/crates/daemon/src/core/renewals.rs
@@ -420,6 +420,9 @@
         if let Some(voters) = reply.voters.take().filter(|_| is_current) {
             self.renewals.search.set_voters(voters);
         }
+        if is_current {
+            self.router.set_shares_at(reply.shares_in.map(|it| now + it));
+        }
         let change = self.holder.apply_reply(now, sent_at, reply);
         self.clock.set(self.holder.renewed_at());
         if let Some(reason) = &change.failure {
--- a/crates/harness/tests/agreement.rs
+++ b/crates/harness/tests/agreement.rs
@@ -5,7 +5,9 @@
 use {
     coord::{
         ids::{PoolName, Version},
+        router::{Outcome, Reason},
         tables::{ChangeOutcome, Edit, Pool, PoolKind},
+        wire::{CallerError, CallerRequest},
     },
     fixture::{new_request, start_system},
     harness::{
@@ -333,3 +335,29 @@
     }
     assert_eq!(pool_names(&cluster, 0).len(), 6);
 }
+
+/// Requests that waited for a share until their deadline could have gone elsewhere.
+#[test]
+fn an_instance_without_a_share_refuses_at_once_what_can_not_get_one_in_time() {
+    let mut system = start_system(3, 1);
+    system.cluster.remove(3);
+    let leader = system.cluster.leader();
+    system.cluster.kill(leader);
+    system.cluster.start(leader);
+    let caller = system.cluster.daemon(leader).caller();
+    let request = CallerRequest { deadline_ms: 2000, ..new_request("notes", "a history") };
+
+    let mut refused = false;
+    wait_until("a request has had another end than its deadline", LONG_TIMEOUT, || {
+        let began = Instant::now();
+        let result = caller.send(&request);
+        let is_refusal = |it: &CallerError| {
+            (it.outcome, it.reason) == (Outcome::NotRun, Reason::Overload)
+                && began.elapsed() < Duration::from_millis(500)
+        };
+        refused = result.failure().is_some_and(is_refusal);
+        refused || result.complete().is_some()
+    });
+
+    assert!(refused, "it waited until shares were raised");
+}
