Answer the first request of a connection that comes as a planned stop refuses new ones

Callers that had opened a connection and whose first request was under way when the stop closed to new requests got no answer: hyper's graceful shutdown closes a connection that hasn't brought a request at once, also if its bytes are there. The relay leaves such connections open now, as the own interface does; the first request gets its 503 and the connection ends with it.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -142,11 +142,12 @@
     let drain = relay.drain.clone();
     let support = Rc::new(ChunkSupport::default());
     let (noted, watched) = (support.clone(), guard.clone());
-    let open = OnceCell::new();
+    let open = Rc::new(OnceCell::new());
+    let opened = open.clone();
     let service = service_fn(move |mut request| {
         noted.note(&request);
         guard.begin(&mut request);
-        open.get_or_init(|| relay.drain.open_connection());
+        opened.get_or_init(|| relay.drain.open_connection());
         let (relay, guard) = (relay.clone(), guard.clone());
         async move {
             let response = handle(relay, request).await;
@@ -168,7 +169,10 @@
     let ended = match ended {
         Some(it) => it,
         None => {
-            Pin::new(&mut connection).graceful_shutdown();
+            // Before its first request a connection would be closed, though one may be under way.
+            if open.get().is_some() {
+                Pin::new(&mut connection).graceful_shutdown();
+            }
             tokio::select! {
                 it = &mut connection => it,
                 () = watched.closed() => {
--- a/crates/daemon/tests/stops.rs
+++ b/crates/daemon/tests/stops.rs
@@ -18,6 +18,7 @@
     std::{
         io::Write,
         net::TcpStream,
+        thread::sleep,
         time::{Duration, Instant},
     },
 };
@@ -259,3 +260,21 @@
     assert_eq!((got.status, got.body.len(), got.complete), (200, size, true));
     wait_until("the connection has ended", LONG_TIMEOUT, || relay.drain.open() == 0);
 }
+
+#[test]
+fn the_first_request_of_a_connection_is_answered_after_a_stop_refuses_new_ones() {
+    let app = healthy("fine");
+    let relay = start(catalog(route(RetryPolicy::Once)), &[endpoint("e", "app", app.addr)]);
+    let mut late = connect(&relay);
+    assert_eq!(call(&relay, &request("id1", "", "")).status, 200);
+
+    stop(&relay);
+    relay.drain.enter(DrainPhase::Closed);
+    sleep(Duration::from_millis(100));
+    let sent = late.write_all(request("id2", "", "").as_bytes());
+    let got = read_response(&mut late);
+
+    assert!(sent.is_ok());
+    assert_refused(&got);
+    assert_eq!(app.received().len(), 1);
+}
