Tell requests at once whose stage inputs expire in the queue

Requests whose second stage waited in a long queue got 503 only after 4 to 16 s: results live 4 s (the pool's 'result_ttl'), but a stage that needs them was queued until the request's own deadline. It was called when its inputs were gone ('an input is gone'), which took a turn of an endpoint for nothing, and the whole request began anew behind the same queue.

Change: a stage is due early enough that its call begins before its oldest input expires (received, plus result_ttl, less 200 ms since results of one stage may be made a call apart). The batcher's scan of the queue, every 50 ms, then drops it as soon as the queue shows that it comes too late. Whether dropped so or answered 'gone', a request begins anew once, as before after 'gone', but only if by the current estimates all its stages and its run end by its deadline, and no stage is expected to wait and run longer than its inputs live. Otherwise it is refused at once, 503 'too_late' and not run; it was 'no_endpoint' after the second attempt, though endpoints were there. Nothing is assumed for a first attempt: reports of waits are too old then to refuse on. The order of the queue is unchanged: later stages of a request usually have earlier targets than new requests of its route, and groups of which a piece was started already come first.

Tests: daemon/tests/batchers.rs. On the code before, the three new tests failed: the second stage was due in 14.8 s instead of under 4 s, the requests with a long queue began anew (503 'no_endpoint'), and a stage that was given up for its inputs ended the request.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -400,7 +400,7 @@
     }
 }
 
-/// Reads the body and runs the stages, a second time if a result was lost.
+/// Reads the body and runs the stages, a second time if a result was lost and there is time.
 ///
 /// # Errors
 /// The request can't be passed on; it has not run.
@@ -434,7 +434,7 @@
     }
 }
 
-/// Runs the stages, a second time if a result was lost.
+/// Runs the stages, a second time if a result was lost and there is time.
 async fn run_stages(
     relay: &Rc<Relay>,
     request: &RelayRequest,
@@ -443,7 +443,10 @@
 ) -> Result<StageResults, StagesError> {
     match stages::run(relay, request, whole, size).await {
         Err(StagesError::Failed(PieceError::Gone)) => {
-            stages::run(relay, request, whole, size).await
+            match stages::may_restart(relay, request, size) {
+                true => stages::run(relay, request, whole, size).await,
+                false => Err(StagesError::Failed(PieceError::Late)),
+            }
         }
         result => result,
     }
@@ -454,7 +457,9 @@
 fn deny_stages(err: StagesError) -> (Denial, Option<Millis>) {
     match err {
         StagesError::Stopping => (Denial::Stopping, Some(RETRY_AFTER_STOPPING)),
-        StagesError::Failed(PieceError::Late) => (Denial::TooLate, Some(RETRY_AFTER_STAGES)),
+        StagesError::Failed(PieceError::Late | PieceError::Gone) => {
+            (Denial::TooLate, Some(RETRY_AFTER_STAGES))
+        }
         StagesError::Failed(_) => (Denial::NoEndpoint, Some(RETRY_AFTER_STAGES)),
     }
 }
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -6,7 +6,8 @@
         relay::Relay, request::RelayRequest,
     },
     coord::{
-        ids::Bytes,
+        catalog::BatchTerms,
+        ids::{Bytes, PoolName},
         relay::{Shard, StagePlan, StageProgress},
         tables::Suspect,
         time::Millis,
@@ -23,6 +24,9 @@
 /// How much earlier than needed stages aim to finish, since the durations of the
 /// following steps vary.
 const TARGET_MARGIN: Millis = Millis(100);
+/// How much earlier than its pool states a result counts as expired, from when it was received:
+/// results of one stage may be made one call apart.
+const EXPIRY_MARGIN: Millis = Millis(200);
 /// Limit on unreachable batchers per shard.
 const MAX_BATCHERS: usize = 2;
 /// Limit on batchers known per shard; those that hand a request back cost one round trip. If a
@@ -47,6 +51,8 @@
     shard: Shard,
     batcher: SocketAddr,
     results: Vec<StoredResult>,
+    /// Until when the results can be used.
+    expires: Instant,
 }
 
 impl StageOutput {
@@ -82,7 +88,7 @@
         };
         let relay = self.relay.clone();
         tokio::task::spawn_local(async move {
-            let StageOutput { shard, batcher, results } = output;
+            let StageOutput { shard, batcher, results, .. } = output;
             // The batcher that tracks the room of the endpoints should free the
             // results; if it is unreachable, this instance frees them.
             let released = batcher != relay.peer
@@ -140,6 +146,7 @@
                 target: time_before(request.target, after + run_time + TARGET_MARGIN),
                 deadline: time_before(request.deadline, after + run_time),
                 stop: relay.drain.answer_by().map(|it| time_before(it, after + whole_time)),
+                inputs: inputs_due(relay, request, &results, stage),
             };
             let mut job = StageJob::new(relay, request, &results, stage, due);
             job.stage_request.whole = Some(whole.clone());
@@ -166,6 +173,42 @@
     }
 }
 
+/// Whether stages whose inputs were lost may run once more: the request still ends in time, and
+/// the results that a stage needs outlast its wait.
+pub fn may_restart(relay: &Relay, request: &RelayRequest, size: usize) -> bool {
+    let stages = &request.route.stages;
+    let durations = stage_durations(relay, request);
+    let outlasts = |stage: usize| {
+        let inputs = stages[stage].after.iter().filter(|it| request.piece_counts[**it] > 0);
+        let lives = inputs.filter_map(|it| Some(batch_terms(relay, &stages[*it].pool)?.result_ttl));
+        lives.min().is_none_or(|it| durations[stage] <= it)
+    };
+    if !(0..stages.len()).all(outlasts) {
+        return false;
+    }
+    let plan = StagePlan::new(stages, durations);
+    let left = plan.time_left(&vec![StageProgress::Waiting; stages.len()], |_| Millis(0));
+    let run_time = relay.expected_run_time(&request.pool, size);
+    Instant::now() + to_duration(left + run_time) <= request.deadline
+}
+
+fn batch_terms(relay: &Relay, pool: &PoolName) -> Option<BatchTerms> {
+    relay.view().catalog().services.get(pool).and_then(|it| it.batch)
+}
+
+/// Returns when the results of a stage are due so that its call begins before an input expires.
+fn inputs_due(
+    relay: &Relay,
+    request: &RelayRequest,
+    results: &StageResults,
+    stage: usize,
+) -> Option<Instant> {
+    let spec = &request.route.stages[stage];
+    let inputs = spec.after.iter().filter_map(|it| results.stages[*it].as_ref());
+    let expires = inputs.filter(|it| !it.results.is_empty()).map(|it| it.expires).min()?;
+    Some(expires + to_duration(batch_terms(relay, &spec.pool)?.call_duration(1)))
+}
+
 fn to_duration(time: Millis) -> Duration {
     Duration::from_millis(time.0)
 }
@@ -178,10 +221,9 @@
 /// Returns the expected duration of each stage: the wait in the queue and one full
 /// call, since pieces of other requests fill the call up.
 fn stage_durations(relay: &Relay, request: &RelayRequest) -> Vec<Millis> {
-    let view = relay.view();
     let time = |stage: usize| {
         let pool = &request.route.stages[stage].pool;
-        let batch = view.catalog().services.get(pool).and_then(|it| it.batch);
+        let batch = batch_terms(relay, pool);
         let count = request.piece_counts[stage];
         let first = relay.shards(pool, request).into_iter().next();
         let wait = first.map_or(Millis(0), |it| relay.expected_wait(&it, request.priority));
@@ -212,6 +254,7 @@
                 shard: output.shard.clone(),
                 batcher: output.batcher,
                 results: Vec::new(),
+                expires: output.expires,
             };
             results.release(stage);
             results.stages[stage] = Some(empty);
@@ -227,17 +270,23 @@
     deadline: Instant,
     /// So that it ends before a graceful shutdown does.
     stop: Option<Instant>,
+    /// So that its inputs haven't expired.
+    inputs: Option<Instant>,
 }
 
 impl Due {
-    /// Whether the stop leaves less time than the deadline.
-    fn is_stop_first(&self) -> bool {
-        self.stop.is_some_and(|it| it < self.deadline)
-    }
-
     /// Returns after when the results are useless.
     fn last(&self) -> Instant {
-        self.stop.map_or(self.deadline, |it| it.min(self.deadline))
+        [self.stop, self.inputs].into_iter().flatten().fold(self.deadline, Instant::min)
+    }
+
+    /// Returns what a stage ends with that can't be done in time.
+    fn late_error(&self) -> StagesError {
+        match self.last() {
+            it if it == self.deadline => StagesError::Failed(PieceError::Late),
+            it if Some(it) == self.stop => StagesError::Stopping,
+            _ => StagesError::Failed(PieceError::Gone),
+        }
     }
 }
 
@@ -304,7 +353,7 @@
         let began = Instant::now();
         let (mut shard, mut batcher) = (self.stage_request.shard.clone(), relay.peer);
         if self.stage_request.count == 0 {
-            return Ok(StageOutput { shard, batcher, results: Vec::new() });
+            return Ok(StageOutput { shard, batcher, results: Vec::new(), expires: began });
         }
         let mut answer = Err(PieceError::Unreachable);
         let (mut handed_back, mut own_handed) = (0, false);
@@ -350,8 +399,13 @@
             "[relay] stage ended"
         );
         match answer {
-            Ok(results) => Ok(StageOutput { shard, batcher, results }),
-            Err(PieceError::Late) if self.due.is_stop_first() => Err(StagesError::Stopping),
+            Ok(results) => {
+                let ttl = batch_terms(&relay, &shard.pool).map_or(Millis(0), |it| it.result_ttl);
+                let kept = Millis(ttl.0.saturating_sub(EXPIRY_MARGIN.0));
+                let expires = Instant::now() + to_duration(kept);
+                Ok(StageOutput { shard, batcher, results, expires })
+            }
+            Err(PieceError::Late) => Err(self.due.late_error()),
             Err(err) => Err(StagesError::Failed(err)),
         }
     }
--- a/crates/daemon/tests/batchers.rs
+++ b/crates/daemon/tests/batchers.rs
@@ -31,7 +31,7 @@
         io::Write,
         net::{SocketAddr, TcpListener},
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
             mpsc::sync_channel,
         },
@@ -52,6 +52,8 @@
 const AT_ONCE: Duration = Duration::from_millis(200);
 /// How long a call of pieces takes.
 const CALL_TIME: Duration = Duration::from_millis(400);
+/// How long the endpoints of the catalog keep results.
+const RESULT_TTL: Millis = Millis(4000);
 /// Longer than any test.
 const NEVER: Duration = Duration::from_secs(30);
 
@@ -119,6 +121,39 @@
     answer.blocking_recv().expect("a reply")
 }
 
+/// Returns the reply with one result.
+fn made() -> StageReply {
+    let endpoint = "s".parse().expect("a name");
+    let result = StoredResult { handle: Handle("h".to_owned()), endpoint };
+    StageReply { answer: Ok(vec![result]), wait: Millis(0) }
+}
+
+/// Starts a relay whose batchers are other instances.
+fn start_gathered(batchers: &[Member], catalog: Catalog, app: SocketAddr) -> Fixture {
+    let relay = start_with_members(batchers, catalog, &rows(unused(), app));
+    // Instances with a disk gather nothing.
+    relay.tables.send_modify(|it| {
+        let roster = &mut Arc::make_mut(it).roster;
+        roster.values_mut().filter(|it| it.peer == relay.addr).for_each(|it| it.disk = true);
+    });
+    sleep(Duration::from_millis(200));
+    relay
+}
+
+/// Returns a catalog with a stage that needs the results of another, and a long timeout.
+fn chained_catalog() -> Catalog {
+    let mut staged = route(RetryPolicy::Stream);
+    staged.timeout = Millis(20_000);
+    staged.stages = vec![stage(&[]), stage(&[0])];
+    catalog(staged)
+}
+
+/// Returns a request with one piece of each of two stages, and much time.
+fn chained_request() -> String {
+    let text = request("id", "mangobend-pieces: 1,1\r\n", "");
+    text.replace("deadline-ms: 2000", "deadline-ms: 15000")
+}
+
 fn rows(pieces: SocketAddr, app: SocketAddr) -> [coord::tables::Endpoint; 2] {
     [endpoint("e", "app", app), endpoint("s", "stage", pieces)]
 }
@@ -150,10 +185,10 @@
 }
 
 /// Starts the peer listeners of instances, each of which answers a stage request with what
-/// `answer` returns, given the number of the request among those of all.
+/// `answer` returns, given the request and its number among those of all.
 fn start_peers(
     count: u64,
-    answer: impl Fn(usize) -> StageReply + Send + Sync + 'static,
+    answer: impl Fn(&StageRequest, usize) -> StageReply + Send + Sync + 'static,
 ) -> (Vec<Member>, Arc<AtomicUsize>) {
     let (asked, answer) = (Arc::new(AtomicUsize::new(0)), Arc::new(answer));
     let listeners: Vec<_> = (0..count)
@@ -175,9 +210,10 @@
                 let (asked, answer) = (counter.clone(), answer.clone());
                 tokio::spawn(async move {
                     while let Some(event) = events.recv().await {
-                        if let BatcherEvent::Submit { respond, .. } = event {
+                        if let BatcherEvent::Submit { request, respond } = event {
                             // The submitter may be gone.
-                            let _ = respond.send(answer(asked.fetch_add(1, Ordering::SeqCst)));
+                            let _ = respond
+                                .send(answer(&request, asked.fetch_add(1, Ordering::SeqCst)));
                         }
                     }
                 });
@@ -261,21 +297,11 @@
 fn stages_reach_a_batcher_that_goes_on_though_many_stop() {
     const STOPPING: usize = 5;
     let app = healthy("fine");
-    let (members, asked) = start_peers(10, |number| match number < STOPPING {
+    let (members, asked) = start_peers(10, |_, number| match number < STOPPING {
         true => StageReply::failed(PieceError::Unreachable),
-        false => {
-            let endpoint = "s".parse().expect("a name");
-            let result = StoredResult { handle: Handle("h".to_owned()), endpoint };
-            StageReply { answer: Ok(vec![result]), wait: Millis(0) }
-        }
-    });
-    let relay = start_with_members(&members, staged_catalog(), &rows(unused(), app.addr));
-    // Instances with a disk gather nothing.
-    relay.tables.send_modify(|it| {
-        let roster = &mut Arc::make_mut(it).roster;
-        roster.values_mut().filter(|it| it.peer == relay.addr).for_each(|it| it.disk = true);
+        false => made(),
     });
-    sleep(Duration::from_millis(200));
+    let relay = start_gathered(&members, staged_catalog(), app.addr);
 
     let first = call(&relay, &request("id1", "mangobend-pieces: 1\r\n", ""));
     let tried = asked.load(Ordering::SeqCst);
@@ -323,3 +349,57 @@
 
     timeout(LONG_TIMEOUT, respond.closed()).await.expect("the request ends");
 }
+
+#[test]
+fn a_stage_is_due_before_its_inputs_expire() {
+    let app = healthy("fine");
+    let deadlines: Arc<Mutex<Vec<Millis>>> = Arc::default();
+    let seen = deadlines.clone();
+    let (members, _) = start_peers(1, move |request, _| {
+        seen.lock().expect("lock poisoned").push(request.deadline);
+        made()
+    });
+    let relay = start_gathered(&members, chained_catalog(), app.addr);
+
+    let got = call(&relay, &chained_request());
+
+    assert_eq!(got.status, 200, "{}", got.text());
+    let deadlines = deadlines.lock().expect("lock poisoned").clone();
+    assert!(deadlines[0] > Millis(10_000), "{deadlines:?}");
+    assert!(deadlines[1] > Millis(3000) && deadlines[1] < RESULT_TTL, "{deadlines:?}");
+}
+
+/// Guards against requests that begin anew though their inputs are lost again for sure.
+#[test]
+fn stages_whose_inputs_expire_in_a_long_queue_are_not_begun_anew() {
+    for err in [PieceError::Late, PieceError::Gone] {
+        let app = healthy("fine");
+        let (members, asked) = start_peers(1, move |_, number| match number % 2 {
+            0 => made(),
+            _ => StageReply { answer: Err(err), wait: RESULT_TTL },
+        });
+        let relay = start_gathered(&members, chained_catalog(), app.addr);
+
+        let got = call(&relay, &chained_request());
+
+        assert_eq!((got.status, got.text().as_str()), (503, "too_late"), "{err}");
+        assert_eq!(asked.load(Ordering::SeqCst), 2, "{err}");
+        assert!(got.header("retry-after").is_some() && app.received().is_empty());
+    }
+}
+
+#[test]
+fn stages_whose_inputs_expired_are_begun_anew_once_if_there_is_time() {
+    for err in [PieceError::Late, PieceError::Gone] {
+        let app = healthy("fine");
+        let (members, asked) = start_peers(1, move |_, number| match number {
+            1 => StageReply::failed(err),
+            _ => made(),
+        });
+        let relay = start_gathered(&members, chained_catalog(), app.addr);
+
+        let got = call(&relay, &chained_request());
+
+        assert_eq!((got.status, asked.load(Ordering::SeqCst)), (200, 4), "{err}");
+    }
+}
