Refuse requests as soon as their stages leave no time for the rest

Requests whose stages outlasted their deadline were refused at the deadline, when their callers had given up.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -425,13 +425,8 @@
         return Err((Denial::Withheld, Some(RETRY_AFTER_TRIAL)));
     }
     record.wait_for(Wait::Stages);
-    let running = run_stages(relay, request, &whole, body.len());
-    // A call of pieces may take longer than the request has time.
-    match timeout_at(request.deadline.into(), running).await {
-        Ok(Ok(it)) => Ok((body, whole, it)),
-        Ok(Err(err)) => Err(deny_stages(err)),
-        Err(_) => Err(deny_stages(StagesError::Failed(PieceError::Late))),
-    }
+    let results = run_stages(relay, request, &whole, body.len()).await;
+    results.map(|it| (body, whole, it)).map_err(deny_stages)
 }
 
 /// Runs the stages, a second time if a result was lost and there is time.
--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -18,7 +18,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::task::JoinSet,
+    tokio::{task::JoinSet, time::sleep_until},
 };
 
 /// How much earlier than needed stages aim to finish, since the durations of the
@@ -153,7 +153,7 @@
             let relay = relay.clone();
             running.spawn_local(async move { (stage, job.run(relay).await) });
         }
-        let least = plan.time_left(&progress, |_| Millis(u64::MAX)) + whole_time;
+        let rest = plan.time_left(&progress, |_| Millis(u64::MAX));
         let ended = tokio::select! {
             it = running.join_next() => it,
             () = relay.drain.begun(), if !stopping => {
@@ -161,7 +161,13 @@
                 plan = StagePlan::new(&route.stages, stage_durations(relay, request));
                 continue;
             }
-            () = relay.drain.last_call(to_duration(least)) => return Err(StagesError::Stopping),
+            () = relay.drain.last_call(to_duration(rest + whole_time)) => {
+                return Err(StagesError::Stopping);
+            }
+            // A call of pieces may take longer than the request has time.
+            () = sleep_until(time_before(request.deadline, rest + run_time).into()) => {
+                return Err(StagesError::Failed(PieceError::Late));
+            }
         };
         let Some(ended) = ended else {
             return Ok(results);
--- a/crates/daemon/tests/deadlines.rs
+++ b/crates/daemon/tests/deadlines.rs
@@ -16,6 +16,8 @@
 const DEADLINE: Duration = Duration::from_millis(2000);
 /// How much later than its deadline a request may end.
 const LATENESS: Duration = Duration::from_millis(300);
+/// When a request whose inputs live 1 s has seen them go twice.
+const INPUTS_GONE: Duration = Duration::from_secs(3);
 /// Longer than any test.
 const NEVER: Duration = Duration::from_secs(30);
 
@@ -66,3 +68,38 @@
     assert_eq!((got.status, got.text().as_str()), (503, "unresumable"));
     assert!(app.received().is_empty());
 }
+
+#[test]
+fn a_request_whose_stage_waits_longer_than_its_inputs_live_is_answered_when_they_are_gone() {
+    let pieces = scripted(|seen, number| {
+        let body = String::from_utf8_lossy(&seen.body);
+        let answer = match body.contains("\"stage\":0") {
+            true => "200 OK\r\ncontent-length: 26\r\n\r\n{\"results\":[{\"Ok\":\"one\"}]}",
+            false if number > 0 && body.contains("\"stage\":1") => {
+                "503 Busy\r\nmangobend-not-run: 1\r\nretry-after: 8\r\ncontent-length: 0\r\n\r\n"
+            }
+            false => return Vec::new(),
+        };
+        vec![Step::Send(format!("HTTP/1.1 {answer}").into())]
+    });
+    let app = healthy("fine");
+    let mut catalog = staged_catalog();
+    catalog.routes[0].stages.push(stage(&[0]));
+    catalog.routes[0].timeout = Millis(20_000);
+    for batch in catalog.services.values_mut().filter_map(|it| it.batch.as_mut()) {
+        batch.call_overhead = Millis(50);
+        batch.result_ttl = Millis(1000);
+    }
+    let endpoints = [endpoint("e", "app", app.addr), endpoint("s", "stage", pieces.addr)];
+    let relay = start(catalog, &endpoints);
+    let headers = "mangobend-pieces: 1,1\r\nmangobend-source: doc\r\n";
+    let text = request("id", headers, "").replace("deadline-ms: 2000", "deadline-ms: 12000");
+
+    let began = Instant::now();
+    let got = call(&relay, &text);
+
+    let seen: Vec<_> =
+        pieces.received().iter().map(|it| String::from_utf8_lossy(&it.body).into_owned()).collect();
+    assert!(began.elapsed() < INPUTS_GONE, "took {:?}, {seen:?}", began.elapsed());
+    assert_eq!(got.status, 503);
+}
