Check what callers get while instances are stopped and started again

The tests of planned stops sent each request through a balancer, or to one relay in the test's process. These run instances under 44 callers that keep their connections (a route with stages whose calls form queues, a stream route, a plain one); instances get SIGTERM one after the other and overlapping, and an endpoint domain is taken out. Each request that was sent whole must get a whole answer, unless it is a stream whose endpoint still sends at the stop's end or it crossed the close of its connection; a 503 must not have run, nothing runs twice, and each process ends with success within its bound.

Daemons of tests that are started again keep their relay's address, as they keep their others.

--- a/crates/harness/src/daemon.rs
+++ b/crates/harness/src/daemon.rs
@@ -83,6 +83,9 @@
             command.args(["--log-format", "json"]);
         }
         command.args(&self.args).stdin(Stdio::null());
+        if let Some(it) = addrs.and_then(|it| it.relay) {
+            command.args(["--relay-listen", &it.to_string()]);
+        }
         command
     }
 
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -9,6 +9,7 @@
 mod daemon;
 mod deployment;
 mod in_force;
+mod kept_caller;
 mod operator;
 mod owner;
 mod process;
@@ -24,6 +25,7 @@
     cluster::{Cluster, ClusterSpec, Instance, LONG_TIMEOUT},
     daemon::{Addrs, Daemon, DaemonSpec},
     deployment::{Deployment, RequestKind, TablesFile},
+    kept_caller::{Exchange, KeptCaller},
     operator::{Operator, new_change},
     process::{Proc, wait_until},
     proxy::{Fault, Proxy},
