Let the soak send relayed requests, and stop the instances that gather stages

The soak loaded the instances' own interface only, so that no fault or stop of it met a relayed request. Six callers that keep their connections now send requests with stages, streams and plain ones through all instances. The audit checks each that was sent whole: it is answered unless its instance was killed meanwhile or it crossed the close of its connection, no 503 has run, nothing has run twice, and some of each route were served. Each plan ends with a planned stop of both instances without data, which gather the stages of all; the drawn faults stay as they were.

--- a/crates/harness/tests/soak.rs
+++ b/crates/harness/tests/soak.rs
@@ -6,6 +6,7 @@
 //! the number of faults of each kind.
 
 mod fixture;
+mod relayed_load;
 mod soaking;
 
 use {
--- a/crates/harness/tests/soaking/audit.rs
+++ b/crates/harness/tests/soaking/audit.rs
@@ -6,12 +6,13 @@
         plan::VOTERS,
         soak::FinishedSoak,
     },
+    crate::relayed_load::{Route, find_fault},
     coord::{
         router::{Outcome, Reason},
         tables::ChangeOutcome,
         wire::CallerError,
     },
-    harness::CallerResult,
+    harness::{CallerResult, Exchange},
     std::{
         collections::{HashMap, HashSet},
         time::Duration,
@@ -30,6 +31,7 @@
         findings.extend(self.check_effects());
         findings.extend(self.check_changes());
         findings.extend(self.check_cold());
+        findings.extend(self.check_relayed());
         for it in self.traces.models.iter().chain(&self.traces.deposits) {
             findings.extend(check_output(it));
             findings.extend(
@@ -39,8 +41,9 @@
         findings.extend(self.check_recovered());
         let attempts: usize = self.traces.models.iter().map(|it| it.attempts.len()).sum();
         println!(
-            "{} requests in {attempts} attempts, {} deposits, {} changes",
+            "{} requests in {attempts} attempts, {} relayed, {} deposits, {} changes",
             self.traces.models.len(),
+            self.exchanges.len(),
             self.traces.deposits.len(),
             self.traces.operators.iter().map(|it| it.accepted.len()).sum::<usize>(),
         );
@@ -96,6 +99,30 @@
             .collect()
     }
 
+    /// Each relayed request is answered unless its instance was killed, none has run that was
+    /// refused, none twice, and some of each route were served.
+    fn check_relayed(&self) -> Vec<String> {
+        let arrivals = self.relayed.arrivals();
+        let is_killed = |it: &Exchange| {
+            let kills = self.faults.iter().filter(|(fault, ..)| fault.may_kill(it.instance));
+            kills.clone().any(|(_, from, to)| it.sent_at < *to && it.ended_at > *from)
+        };
+        let mut findings = Vec::new();
+        for route in Route::ALL.map(Route::name) {
+            let served = |it: &Exchange| it.response.status == 200 && it.id.starts_with(route);
+            if !self.exchanges.iter().any(served) {
+                findings.push(format!("no {route} request was served"));
+            }
+        }
+        findings.extend(self.exchanges.iter().filter_map(|it| {
+            let runs = arrivals.get(&it.id).map_or(&[][..], Vec::as_slice);
+            let fault = find_fault(it, runs, is_killed(it))?;
+            let (took, status) = (it.ended_at - it.sent_at, it.response.status);
+            Some(format!("{} at {} {fault}: {status}, {took:?}, runs {runs:?}", it.id, it.instance))
+        }));
+        findings
+    }
+
     /// An answer arrives by its deadline, unless a process was frozen meanwhile or the
     /// connection broke.
     fn check_deadline(&self, input: &str, attempt: &Attempt) -> Option<String> {
--- a/crates/harness/tests/soaking/plan.rs
+++ b/crates/harness/tests/soaking/plan.rs
@@ -72,6 +72,23 @@
     pub endpoints: Vec<FaultWindow<EndpointFault>>,
 }
 
+impl InstanceFault {
+    /// Whether it may end the process of an instance without a stop.
+    pub fn may_kill(self, instance: usize) -> bool {
+        match self {
+            Self::Kill(it) | Self::Wipe(it) | Self::Replace(it) => it == instance,
+            Self::KillAll | Self::ReplaceLeader | Self::ReplacePair => true,
+            Self::Freeze(_)
+            | Self::Stop(_)
+            | Self::CutPeers(_)
+            | Self::DropInbound(_)
+            | Self::DropOutbound(_)
+            | Self::Blackhole(_)
+            | Self::Delay(_) => false,
+        }
+    }
+}
+
 impl Plan {
     /// Draws `faults` faults for each list.
     pub fn generate(seed: u64, faults: usize) -> Self {
@@ -82,11 +99,14 @@
         let ageing = (0..REPLACEMENTS).map(|_| draw_window(rng, draw_replacement));
         instances.splice(0..0, ageing);
         let endpoints = (0..faults).map(|_| draw_window(rng, draw_endpoint_fault)).collect();
+        // Each plan stops the instances that gather the stages of all.
+        let gatherers = VOTERS..VOTERS + NON_VOTERS;
+        instances.extend(gatherers.map(|it| draw_window(rng, |_| InstanceFault::Stop(it))));
         Self { instances, endpoints }
     }
 }
 
-fn draw_window<T>(rng: &mut StdRng, draw: fn(&mut StdRng) -> T) -> FaultWindow<T> {
+fn draw_window<T>(rng: &mut StdRng, draw: impl FnOnce(&mut StdRng) -> T) -> FaultWindow<T> {
     let delay = Duration::from_millis(rng.random_range(300..1500));
     let duration = Duration::from_millis(rng.random_range(500..4000));
     FaultWindow { delay, duration, fault: draw(rng) }
--- a/crates/harness/tests/soaking/soak.rs
+++ b/crates/harness/tests/soaking/soak.rs
@@ -5,12 +5,15 @@
         load::{Traces, is_healthy, run_caller, run_operator},
         plan::{DOMAINS, EndpointFault, FaultWindow, InstanceFault, NON_VOTERS, Plan, VOTERS},
     },
-    crate::fixture::{endpoint_specs, tables_edit},
+    crate::{
+        fixture::{endpoint_specs, tables_edit},
+        relayed_load::{Load, LoadSpec, RelayedEndpoints, Route, relayed_catalog},
+    },
     coord::{
         ids::Slots,
         tables::{Edit, Target},
     },
-    harness::{Addrs, Cluster, ClusterSpec, Fault, Operator, StandIns, wait_until},
+    harness::{Addrs, Cluster, ClusterSpec, Exchange, Fault, Operator, StandIns, wait_until},
     standin::{Control, EndpointSpec},
     std::{
         fs,
@@ -29,6 +32,8 @@
 /// The number of callers on each route.
 const CALLERS_PER_ROUTE: u64 = 4;
 const OPERATORS: u64 = 2;
+/// The duration of a call of a relayed request's stage.
+const STAGE_CALL: Duration = Duration::from_millis(20);
 /// An instance that is lost counts as a sound voter for this long: its lease and its margin.
 /// One that lost its disk has the name of the one before, so that no other fault may begin
 /// until then.
@@ -45,12 +50,16 @@
     pub cluster: Cluster,
     pub ledgers: StandIns,
     pub engines: Mutex<StandIns>,
+    pub relayed: RelayedEndpoints,
     pub addrs: Vec<Addrs>,
     /// Which instance was suspended, from when until when.
     pub frozen: Vec<(usize, Instant, Instant)>,
+    /// Each fault of instances, from when until the system had recovered.
+    pub faults: Vec<(InstanceFault, Instant, Instant)>,
     pub findings: Vec<String>,
     stop: Arc<AtomicBool>,
     load: LoadThreads,
+    relayed_load: Load,
 }
 
 struct LoadThreads {
@@ -68,9 +77,13 @@
     /// Starts a system and its load.
     pub fn start(seed: u64) -> Self {
         let mut spec = ClusterSpec::new(VOTERS, NON_VOTERS);
-        spec.args = ["--mend-voters", "on"].map(ToOwned::to_owned).to_vec();
+        let args = ["--mend-voters", "on", "--relay-listen", "127.0.0.1:0"];
+        spec.args = args.map(ToOwned::to_owned).to_vec();
         let cluster = spec.start();
         cluster.operator().edit(vec![tables_edit()]).expect("the tables are accepted");
+        let catalog = relayed_catalog(STAGE_CALL);
+        let posted = cluster.operator().post::<serde_json::Value>("/v1/catalog", &catalog);
+        posted.expect("the catalog is accepted");
         let addrs: Vec<Addrs> = cluster.daemons().map(|it| it.addrs).collect();
         let ledgers = StandIns::start(&specs(true), &cluster.announce_addrs());
         let engines = StandIns::start(&specs(false), &cluster.announce_addrs());
@@ -80,8 +93,22 @@
         });
         let stop = Arc::new(AtomicBool::new(false));
         let load = LoadThreads::start(seed, &addrs, &stop);
-        let engines = Mutex::new(engines);
-        Self { cluster, ledgers, engines, addrs, frozen: vec![], findings: vec![], stop, load }
+        let relayed = RelayedEndpoints::start(STAGE_CALL, cluster.announce_addrs());
+        let relays: Vec<_> = cluster.daemons().map(harness::Daemon::relay_addr).collect();
+        let relayed_load = Load::start(&relayed_spec(seed), &relays);
+        Self {
+            cluster,
+            ledgers,
+            engines: Mutex::new(engines),
+            relayed,
+            addrs,
+            frozen: vec![],
+            faults: vec![],
+            findings: vec![],
+            stop,
+            load,
+            relayed_load,
+        }
     }
 
     /// Injects all faults, lets the system recover and stops the load.
@@ -96,7 +123,9 @@
             });
             for window in &plan.instances {
                 thread::sleep(window.delay);
+                let began = Instant::now();
                 let result = inject_instance_fault(cluster, window, &mut self.frozen);
+                self.faults.push((window.fault, began, Instant::now()));
                 self.findings.extend(result.err());
             }
         });
@@ -104,14 +133,18 @@
         thread::sleep(RECOVERY_BOUND);
         self.stop.store(true, Ordering::Relaxed);
         let traces = self.load.join();
+        let exchanges = self.relayed_load.finish();
         FinishedSoak {
             cluster: self.cluster,
             ledgers: self.ledgers,
             engines: self.engines.into_inner().expect("lock poisoned"),
+            relayed: self.relayed,
             frozen: self.frozen,
+            faults: self.faults,
             findings: self.findings,
             faults_ended,
             traces,
+            exchanges,
         }
     }
 }
@@ -121,11 +154,26 @@
     pub cluster: Cluster,
     pub ledgers: StandIns,
     pub engines: StandIns,
+    pub relayed: RelayedEndpoints,
     pub frozen: Vec<(usize, Instant, Instant)>,
+    pub faults: Vec<(InstanceFault, Instant, Instant)>,
     pub findings: Vec<String>,
     /// When the last fault had ended.
     pub faults_ended: Instant,
     pub traces: Traces,
+    /// Relayed requests that were sent whole.
+    pub exchanges: Vec<Exchange>,
+}
+
+/// The load of relayed requests, whose deadlines are within those of the other requests.
+fn relayed_spec(seed: u64) -> LoadSpec {
+    LoadSpec {
+        seed,
+        callers: vec![(Route::Staged, 3), (Route::Plain, 1), (Route::Stream, 2)],
+        max_gap: Duration::from_millis(200),
+        max_deadline: 2000,
+        max_stream: 1000,
+    }
 }
 
 impl LoadThreads {
