--- a/crates/daemon/src/relay/stages.rs
+++ b/crates/daemon/src/relay/stages.rs
@@ -155,6 +155,8 @@
         }
         let rest = plan.time_left(&progress, |_| Millis(u64::MAX));
         let ended = tokio::select! {
+            // A request whose stages have ended goes on, however little time is left.
+            biased;
             it = running.join_next() => it,
             () = relay.drain.begun(), if !stopping => {
                 stopping = true;
--- a/crates/daemon/tests/deadlines.rs
+++ b/crates/daemon/tests/deadlines.rs
@@ -103,3 +103,19 @@
     assert!(began.elapsed() < INPUTS_GONE, "took {:?}, {seen:?}", began.elapsed());
     assert_eq!(got.status, 503);
 }
+
+/// Guards against refusals by the time limit of stages where there are none.
+#[test]
+fn a_request_without_stages_is_sent_however_little_time_it_has() {
+    let app = healthy("fine");
+    let relay = start(catalog(route(RetryPolicy::Once)), &[endpoint("e", "app", app.addr)]);
+
+    let statuses: Vec<u16> = (0..20)
+        .map(|it| {
+            let text = request(&format!("id{it}"), "", "");
+            call(&relay, &text.replace("deadline-ms: 2000", "deadline-ms: 150")).status
+        })
+        .collect();
+
+    assert_eq!(statuses, [200; 20]);
+}
