Deliver an answer that is ready when the last call of a stop comes

The end of a request and the last call of a stop were looked at in random order, so that an answer that had just come could be replaced by a refusal or a 502.

--- a/crates/daemon/src/relay/front.rs
+++ b/crates/daemon/src/relay/front.rs
@@ -249,6 +249,8 @@
         RequestRecord::new(&request, version, relay.series.clone(), progress.clone(), guard);
     let mut serving = Box::pin(serve_request(relay, request, body, record));
     tokio::select! {
+        // An answer that is there is delivered.
+        biased;
         response = &mut serving => return response,
         () = relay.drain.last_call(Duration::ZERO) => {}
     }
