--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -19,7 +19,7 @@
         call, catalog, connect, endpoint, member, read_response, request, route, scripted,
         signed_ok, start, start_with_members,
     },
-    standin::Step,
+    standin::{Step, header},
     std::{
         fs,
         io::{Read, Write},
@@ -144,3 +144,45 @@
 
     wait_until("the peer is probed", Duration::from_secs(2), || is_probed(&peer));
 }
+
+/// Starts an endpoint that reads the head of one request, and its body after a pause.
+fn slow_endpoint() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("a bound listener has an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the relay connects");
+        let mut bytes = Vec::new();
+        let mut part = [0; 4096];
+        while bytes.len() < LONG {
+            match stream.read(&mut part) {
+                Ok(1..) if bytes.is_empty() => sleep(READING_PAUSE),
+                Ok(1..) => {}
+                Ok(0) | Err(_) => return,
+            }
+            bytes.extend(part);
+        }
+        let head = String::from_utf8_lossy(&bytes[..4096]).into_owned();
+        let id = header(&head, "mangobend-request").unwrap_or_default();
+        let signature = "mangobend-signature: s\r\ncontent-length: 4\r\n";
+        let answer = format!("HTTP/1.1 200 OK\r\nmangobend-request: {id}\r\n{signature}\r\nfine");
+        // The relay may have given up.
+        let _ = stream.write_all(answer.as_bytes());
+        let _ = stream.read(&mut part);
+    });
+    addr
+}
+
+#[test]
+fn an_endpoint_that_stops_reading_for_some_seconds_gets_a_long_body_whole() {
+    let mut patient = route(RetryPolicy::Once);
+    patient.timeout = Millis(20_000);
+    let relay = start(catalog(patient), &[endpoint("e", "app", slow_endpoint())]);
+    let mut caller = connect(&relay);
+    let text = request("id", "", &"x".repeat(LONG));
+    let text = text.replace("deadline-ms: 2000", "deadline-ms: 15000");
+    caller.write_all(text.as_bytes()).expect("the request is sent");
+
+    let got = read_response(&mut caller);
+
+    assert_eq!((got.status, got.text().as_str()), (200, "fine"));
+}
